--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+MODULES := coord server cmd bench
+BIN := bin
+
+.PHONY: build test race lint bench demo fleet fleet-stop clean
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/hemlockvaled ./cmd/hemlockctl
+
+test:
+	go test $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+race:
+	go test -race ./coord/... ./server/...
+
+lint:
+	@files=$$(gofmt -l $(MODULES)); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	go vet $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	go tool staticcheck $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+clean:
+	rm -rf $(BIN) var
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,3 @@
+// Package bench drives the placement policy in virtual time against queueing
+// models of targets and callers.
+package bench
--- /dev/null
+++ b/cmd/hemlockctl/main.go
@@ -0,0 +1,4 @@
+// Command hemlockctl drives a deployment for its operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hemlockvaled/main.go
@@ -0,0 +1,4 @@
+// Command hemlockvaled runs the entry and control roles.
+package main
+
+func main() {}
--- /dev/null
+++ b/coord/placement/types.go
@@ -0,0 +1,86 @@
+// Package placement chooses the target and the priority of each request.
+package placement
+
+import "time"
+
+// Weights set the goals of a profile.
+type Weights struct {
+	// Latency weighs program latency.
+	Latency float64
+	// Fairness weighs the worst-served organisation.
+	Fairness float64
+}
+
+// Request is what the policy knows about a call before it runs.
+type Request struct {
+	// Organisation owns the program.
+	Organisation string
+	// Program is the program's id.
+	Program string
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int64
+	// AttainedTokens is the service that the program has had so far.
+	AttainedTokens int64
+	// OrganisationTokens is the organisation's decayed token counter.
+	OrganisationTokens int64
+	// OrganisationShare is the organisation's part of all recent tokens, from 0 to 1.
+	OrganisationShare float64
+	// Priority comes from the profile; lower runs first.
+	Priority int
+	// Weights come from the profile.
+	Weights Weights
+}
+
+// Candidate is a target as one entry sees it.
+type Candidate struct {
+	// ID is the target's id.
+	ID string
+	// DataCentre is where the target runs.
+	DataCentre string
+	// Running and Waiting are the reported numbers of requests.
+	Running, Waiting int
+	// MaxBatch is how many requests run at once.
+	MaxBatch int
+	// Outstanding is how many requests were dispatched from here since the report.
+	Outstanding int
+	// OutstandingTokens is the work of the dispatched requests, in tokens.
+	OutstandingTokens int64
+	// KVUsed and KVCapacity are the cache's size in tokens.
+	KVUsed, KVCapacity int64
+	// CachedTokens is how much of this program's prefix the target holds.
+	CachedTokens int64
+	// ReportAge is the age of the load report.
+	ReportAge time.Duration
+	// TokensPerSecond is the reported prefill speed.
+	TokensPerSecond float64
+	// Suspect marks a target with recent failures.
+	Suspect bool
+}
+
+// Action is what to do with a request.
+type Action int
+
+const (
+	// Dispatch sends the request to Decision.Target.
+	Dispatch Action = iota
+	// Refuse answers the caller with "not run".
+	Refuse
+)
+
+// Decision is the policy's answer.
+type Decision struct {
+	// Action says whether to dispatch.
+	Action Action
+	// Target is the chosen target's id.
+	Target string
+	// Priority is sent to the engine; lower runs first.
+	Priority int
+	// RetryAfter is a hint for refused callers.
+	RetryAfter time.Duration
+	// Reason explains the choice in one word.
+	Reason string
+	// Candidates is how many targets were weighed.
+	Candidates int
+	// CachedTokens is the prefix expected on the chosen target.
+	CachedTokens int64
+}
--- /dev/null
+++ b/server/rpc/pool.go
@@ -0,0 +1,159 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Pool keeps one connection to each peer and dials again when it fails.
+type Pool struct {
+	dialTimeout time.Duration
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+// NewPool returns a pool whose dials give up after dialTimeout.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{dialTimeout: dialTimeout, peers: make(map[string]*peer)}
+}
+
+// To returns a caller for one address.
+func (p *Pool) To(address string) Caller { return caller{p, address} }
+
+// Call sends one request to address and waits for its answer.
+func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := p.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	waiter, err := conn.DispatchCall(ctx, method, params)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		return fmt.Errorf("%s: %w", address, ErrUnreachable)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w: %w", address, ErrConnectionLost, err)
+	}
+	err = waiter.Wait(ctx, result)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		return fmt.Errorf("%s: %w", address, ErrConnectionLost)
+	}
+	return decodeError(err)
+}
+
+// Close closes every connection; later calls fail as unreachable.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	peers := p.peers
+	p.peers, p.closed = make(map[string]*peer), true
+	p.mu.Unlock()
+	var errs []error
+	for _, peer := range peers {
+		errs = append(errs, peer.close())
+	}
+	return errors.Join(errs...)
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, fmt.Errorf("%s: %w: pool closed", address, ErrUnreachable)
+	}
+	pe := p.peers[address]
+	if pe == nil {
+		pe = &peer{address: address}
+		p.peers[address] = pe
+	}
+	p.mu.Unlock()
+	return pe.connect(ctx, p.dialTimeout)
+}
+
+type caller struct {
+	pool    *Pool
+	address string
+}
+
+// Call sends one request to the caller's address.
+func (c caller) Call(ctx context.Context, method string, params, result any) error {
+	return c.pool.Call(ctx, c.address, method, params, result)
+}
+
+// peer is one address and its current connection.
+type peer struct {
+	address string
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+func (p *peer) connect(ctx context.Context, timeout time.Duration) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		select {
+		case <-p.conn.DisconnectNotify():
+			p.conn = nil
+		default:
+			return p.conn, nil
+		}
+	}
+	dialer := net.Dialer{Timeout: timeout}
+	c, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", p.address, ErrUnreachable, err)
+	}
+	p.conn = jsonrpc2.NewConn(context.Background(), newStream(c), rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
+	go heartbeat(p.conn)
+	return p.conn, nil
+}
+
+func (p *peer) close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		return nil
+	}
+	return ignoreClosed(p.conn.Close())
+}
+
+// heartbeat keeps bytes flowing in both directions; the read deadline of the
+// stream closes the connection when the answers stop.
+func heartbeat(conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.DisconnectNotify():
+			return
+		case <-ticker.C:
+			// The answer only has to arrive, so nobody waits for it.
+			ctx, cancel := context.WithTimeout(context.Background(), SilenceTimeout)
+			waiter, err := conn.DispatchCall(ctx, pingMethod, nil)
+			if err == nil {
+				go func() { defer cancel(); _ = waiter.Wait(ctx, nil) }()
+				continue
+			}
+			cancel()
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+// rejectHandler refuses requests on a client connection: calls go one way.
+type rejectHandler struct{}
+
+// Handle answers every request with "method not found".
+func (rejectHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !req.Notif {
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: methodNotFoundCode, Message: "client connection answers no requests"})
+	}
+}
--- /dev/null
+++ b/server/rpc/stream.go
@@ -0,0 +1,81 @@
+package rpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// maxFrameBytes bounds one message; a snapshot is the largest.
+const maxFrameBytes = 64 << 20
+
+// errFrameTooLarge reports a length prefix over maxFrameBytes.
+var errFrameTooLarge = errors.New("frame exceeds the size limit")
+
+// stream frames messages with a length prefix and closes a silent connection
+// through its read deadline. Both ends rely on the client's heartbeat.
+type stream struct {
+	conn    net.Conn
+	r       *bufio.Reader
+	writeMu sync.Mutex
+}
+
+func newStream(c net.Conn) *stream {
+	return &stream{conn: c, r: bufio.NewReader(deadlineReader{c})}
+}
+
+// WriteObject writes one message with a deadline, so that a peer that stops
+// reading cannot block the writer for good.
+func (s *stream) WriteObject(obj any) error {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	if err := s.conn.SetWriteDeadline(time.Now().Add(SilenceTimeout)); err != nil {
+		return err
+	}
+	return jsonrpc2.VarintObjectCodec{}.WriteObject(s.conn, obj)
+}
+
+// ReadObject reads one message.
+func (s *stream) ReadObject(v any) error { return readFrame(s.r, v) }
+
+// Close closes the connection.
+func (s *stream) Close() error { return s.conn.Close() }
+
+// deadlineReader fails a read that sees no byte for SilenceTimeout.
+type deadlineReader struct{ c net.Conn }
+
+// Read renews the deadline before each read.
+func (d deadlineReader) Read(p []byte) (int, error) {
+	if err := d.c.SetReadDeadline(time.Now().Add(SilenceTimeout)); err != nil {
+		return 0, err
+	}
+	return d.c.Read(p)
+}
+
+func readFrame(r *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > maxFrameBytes {
+		return errFrameTooLarge
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return err
+	}
+	return json.Unmarshal(buf, v)
+}
+
+// discardLogger silences the library: the callers of this package log failures themselves.
+type discardLogger struct{}
+
+// Printf drops the message.
+func (discardLogger) Printf(string, ...any) {}
