--- a/coord/target/types.go
+++ b/coord/target/types.go
@@ -74,4 +74,7 @@
 	Argument string `json:"argument,omitempty"`
 	// DeadlineMS is how long the target may take, in milliseconds; it then drops the order.
 	DeadlineMS int64 `json:"deadline_ms"`
+	// ExpiresUnixMS is the wall-clock time after which the target drops the order even
+	// when it arrives late, in Unix milliseconds; 0 means that only DeadlineMS applies.
+	ExpiresUnixMS int64 `json:"expires_unix_ms,omitempty"`
 }
