Add the target registry, the order book and their adapter

Announcements and cache events go to the watchers and to the owner of the target's orders; orders carry the epoch of the target's shard and an expiry time, and a release is confirmed only by the target's state.

--- /dev/null
+++ b/coord/target/cacheview.go
@@ -0,0 +1,142 @@
+package target
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// reorderWindow is how long events wait for earlier ones: they reach a
+	// watcher through different entries, each of which batches for up to 500 ms.
+	reorderWindow = time.Second
+	// maxWaitingEvents bounds the events that wait for earlier ones.
+	maxWaitingEvents = 1024
+	// maxCachePrograms bounds the programs of one target's view.
+	maxCachePrograms = 16_384
+	// minTrust is the trust below which a prefix is no longer expected.
+	minTrust = 0.05
+)
+
+// cacheView is what cache events say about a target's prefixes.
+//
+// Lost events lower the trust in what was reported before them: a gap of n
+// events multiplies it by p/(p+n), where p is the number of programs in the
+// view, because each lost event may have removed one of them. A program that is
+// reported again after the gap is fully trusted.
+type cacheView struct {
+	programs map[string]cachedPrefix
+	// distrust is the sum of -ln(factor) over all gaps.
+	distrust float64
+	// next is the sequence number of the next event; 0 before the first one.
+	next    uint64
+	waiting []CacheEvent
+	// waitingSince is when the oldest of the waiting events arrived.
+	waitingSince time.Duration
+}
+
+type cachedPrefix struct {
+	tokens int64
+	// distrust is the view's value when the prefix was reported.
+	distrust float64
+}
+
+// add applies events in the order of their sequence. Events that come early wait
+// for a while; repeated ones and those that come after their gap was given up
+// are dropped.
+func (c *cacheView) add(now time.Duration, events []CacheEvent) {
+	for _, e := range events {
+		if e.Sequence == 0 || e.Sequence < c.next {
+			continue
+		}
+		if c.next == 0 {
+			c.next = e.Sequence
+		}
+		at, found := slices.BinarySearchFunc(c.waiting, e.Sequence, compareSequence)
+		if found {
+			continue
+		}
+		if len(c.waiting) == 0 {
+			c.waitingSince = now
+		}
+		c.waiting = slices.Insert(c.waiting, at, e)
+		c.advance(now)
+	}
+	c.flush(now)
+}
+
+func compareSequence(e CacheEvent, sequence uint64) int {
+	switch {
+	case e.Sequence < sequence:
+		return -1
+	case e.Sequence > sequence:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// advance applies the waiting events that have no gap before them.
+func (c *cacheView) advance(now time.Duration) {
+	applied := 0
+	for applied < len(c.waiting) && c.waiting[applied].Sequence == c.next {
+		c.apply(c.waiting[applied])
+		c.next++
+		applied++
+	}
+	if applied > 0 {
+		c.waiting = slices.Delete(c.waiting, 0, applied)
+		c.waitingSince = now
+	}
+}
+
+// flush gives up gaps that have lasted for too long.
+func (c *cacheView) flush(now time.Duration) {
+	for len(c.waiting) > 0 && (now-c.waitingSince >= reorderWindow || len(c.waiting) > maxWaitingEvents) {
+		c.gap(c.waiting[0].Sequence - c.next)
+		c.next = c.waiting[0].Sequence
+		c.advance(now)
+	}
+}
+
+// gap notes lost events.
+func (c *cacheView) gap(lost uint64) {
+	known := float64(max(len(c.programs), 1))
+	c.distrust += math.Log((known + float64(lost)) / known)
+}
+
+func (c *cacheView) apply(e CacheEvent) {
+	switch e.Kind {
+	case "cleared":
+		clear(c.programs)
+	case "removed":
+		delete(c.programs, e.Program)
+	case "stored":
+		if c.programs == nil {
+			c.programs = make(map[string]cachedPrefix)
+		}
+		if len(c.programs) >= maxCachePrograms {
+			clear(c.programs)
+		}
+		c.programs[e.Program] = cachedPrefix{max(e.Tokens, 0), c.distrust}
+	}
+}
+
+// expected returns the reported prefix length times the trust in it.
+func (c *cacheView) expected(program string) int64 {
+	p, ok := c.programs[program]
+	if !ok {
+		return 0
+	}
+	trust := math.Exp(p.distrust - c.distrust)
+	if trust < minTrust {
+		return 0
+	}
+	return int64(float64(p.tokens) * trust)
+}
+
+// holds reports whether the program may still be held, however low the trust.
+func (c *cacheView) holds(program string) bool {
+	_, ok := c.programs[program]
+	return ok
+}
--- a/server/emulator/engine.go
+++ b/server/emulator/engine.go
@@ -107,7 +107,7 @@
 
 func (o *EngineOptions) setDefaults() {
 	if o.Fencing == "" {
-		o.Fencing = FencingEnforced
+		o.Fencing = target.FencingEnforced
 	}
 	if o.TokensPerSecond <= 0 {
 		o.TokensPerSecond = defaultTokensPerSecond
--- a/server/emulator/orders.go
+++ b/server/emulator/orders.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// FencingEnforced engines refuse orders with a stale fencing number.
-	FencingEnforced = "enforced"
-	// FencingIgnored engines accept any fencing number.
-	FencingIgnored = "ignored"
 	// maxOrderRecords bounds the orders that are remembered for retries.
 	maxOrderRecords = 1024
 )
@@ -161,7 +157,7 @@
 	if o.ID == "" {
 		return false, errOrderWithoutID
 	}
-	if e.options.Fencing == FencingEnforced && o.Fencing < e.orders.highest {
+	if e.options.Fencing == target.FencingEnforced && o.Fencing < e.orders.highest {
 		return false, errStaleFencing
 	}
 	record := e.orders.find(o.ID)
--- /dev/null
+++ b/server/targets/harness_test.go
@@ -0,0 +1,167 @@
+package targets
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/coord/placement"
+	"hemlockvale.dev/coord/program"
+	"hemlockvale.dev/server/emulator"
+	"hemlockvale.dev/server/rpc"
+)
+
+const (
+	testShards  = 8
+	testService = "agent-llm"
+)
+
+// fakeFleet is a configuration that a test changes directly.
+type fakeFleet struct {
+	mu       sync.Mutex
+	revision uint64
+	vms      []fleet.VM
+	drains   []fleet.TargetDrain
+	epoch    uint64
+	owner    fleet.VMRef
+}
+
+func (f *fakeFleet) change(edit func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit()
+	f.revision++
+}
+
+func (f *fakeFleet) Revision() uint64 { f.mu.Lock(); defer f.mu.Unlock(); return f.revision }
+func (f *fakeFleet) Shards() int      { return testShards }
+func (f *fakeFleet) VMs() []fleet.VM  { f.mu.Lock(); defer f.mu.Unlock(); return slices.Clone(f.vms) }
+func (f *fakeFleet) TargetDrains() []fleet.TargetDrain {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.drains)
+}
+
+// Assignment gives all shards to one owner.
+func (f *fakeFleet) Assignment(shard int) (fleet.Assignment, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fleet.Assignment{Shard: shard, Epoch: f.epoch, Owner: f.owner}, f.owner.ID != ""
+}
+
+func shardOf(shards int, organisation, id string) int {
+	return int(xxhash.Sum64String(organisation+"\x00"+id) % uint64(shards))
+}
+
+// node is one entry of the test fleet.
+type node struct {
+	*Targets
+	vm   fleet.VM
+	stop func()
+	// paused makes the VM believe in its ownership, as a paused process does.
+	mu     sync.Mutex
+	paused uint64
+}
+
+func (n *node) pauseAt(epoch uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused = epoch
+}
+
+func (n *node) owns(f *fakeFleet) func(int) (uint64, bool) {
+	return func(int) (uint64, bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.paused > 0 {
+			return n.paused, true
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.epoch, f.owner == n.vm.VMRef
+	}
+}
+
+// newFleet starts n entries; the first one owns all shards.
+func newFleet(t *testing.T, n int) (*fakeFleet, []*node) {
+	t.Helper()
+	f := &fakeFleet{}
+	var nodes []*node
+	for i := range n {
+		nodes = append(nodes, startNode(t, f, string(rune('a'+i))))
+	}
+	f.change(func() { f.epoch, f.owner = 1, nodes[0].vm.VMRef })
+	return f, nodes
+}
+
+func startNode(t *testing.T, f *fakeFleet, id string) *node {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	entry := log.WithField("vm", id)
+	n := &node{}
+	pool := rpc.NewPool(time.Second)
+	server := rpc.NewServer(entry)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	router := mux.NewRouter()
+	web := httptest.NewServer(router)
+	n.vm = fleet.VM{VMRef: fleet.VMRef{ID: id, Incarnation: id + "-1"}, Role: "entry", RPCAddress: l.Addr().String(), HTTPAddress: web.Listener.Addr().String()}
+	n.Targets = New(Options{Self: n.vm.VMRef, Pool: pool, State: func() FleetView { return f }, ShardOf: shardOf, Owns: n.owns(f), Log: entry})
+	n.Register(server)
+	n.Mount(router)
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); n.Run(ctx) }()
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		<-ended
+		web.Close()
+		_ = server.Close()
+		_ = pool.Close()
+	})
+	t.Cleanup(n.stop)
+	f.change(func() { f.vms = append(f.vms, n.vm) })
+	return n
+}
+
+// startEngine runs an engine that announces to all nodes. Stopping it is
+// graceful; the engine's Run result is not checked, because some tests crash it.
+func startEngine(t *testing.T, o emulator.EngineOptions, nodes ...*node) (e *emulator.Engine, stop func()) {
+	t.Helper()
+	o.Service = testService
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	for _, n := range nodes {
+		o.Entries = append(o.Entries, n.vm.HTTPAddress)
+	}
+	e, err := emulator.NewEngine(o)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = e.Run(ctx) }()
+	t.Cleanup(func() { e.Crash(); cancel(); <-ended })
+	return e, cancel
+}
+
+// sees waits until a node's candidates are as expected.
+func sees(t *testing.T, n *node, within time.Duration, ok func([]placement.Candidate) bool) {
+	t.Helper()
+	require.Eventually(t, func() bool { return ok(n.Candidates(testService, "", program.Ref{})) }, within, 10*time.Millisecond)
+}
+
+func count(n int) func([]placement.Candidate) bool {
+	return func(cs []placement.Candidate) bool { return len(cs) == n }
+}
--- /dev/null
+++ b/server/targets/release.go
@@ -0,0 +1,212 @@
+package targets
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/coord/program"
+	"hemlockvale.dev/coord/target"
+	"hemlockvale.dev/server/rpc"
+)
+
+const (
+	methodRelease = "targets.release"
+	// maxReleaseBatch bounds the releases in one call to an owner.
+	maxReleaseBatch = 1024
+	// maxPendingReleases bounds the memory of unconfirmed releases.
+	maxPendingReleases = 262_144
+	// releaseLifetime is how long an unconfirmed release is repeated. A target
+	// that has not been announced for ten minutes is forgotten before that.
+	releaseLifetime = 15 * time.Minute
+)
+
+type releaseKey struct{ target, program string }
+
+// pendingRelease is a release that its owner has not confirmed.
+type pendingRelease struct {
+	request string
+	since   time.Duration
+}
+
+// releaseItem is one release in a call.
+type releaseItem struct {
+	Target  string `json:"target"`
+	Program string `json:"program"`
+	// Request identifies the release across its repetitions.
+	Request string `json:"request"`
+}
+
+// releaseCall is the parameter of targets.release.
+type releaseCall struct {
+	Items []releaseItem `json:"items"`
+}
+
+// releaseResult says, item by item, which releases are complete.
+type releaseResult struct {
+	Final []bool `json:"final"`
+}
+
+// releaseInbox holds the releases that Release was called for until the next
+// round. It has its own lock: the owner of a program's shard may call Release
+// under the same lock that Options.Owns takes.
+type releaseInbox struct {
+	mu    sync.Mutex
+	items []inboxItem
+}
+
+type inboxItem struct {
+	program string
+	ids     []string
+}
+
+func (b *releaseInbox) add(i inboxItem) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.items) >= maxPendingReleases {
+		return false
+	}
+	b.items = append(b.items, i)
+	return true
+}
+
+func (b *releaseInbox) take() []inboxItem {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	items := b.items
+	b.items = nil
+	return items
+}
+
+func (b *releaseInbox) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.items)
+}
+
+// Release frees the engine memory of a program that no longer exists, on the
+// given targets and on those whose cache events show the program. It returns at
+// once; the release is repeated to the owners of the targets' orders until each
+// has confirmed it or the target's run has ended. The caller may repeat it.
+func (t *Targets) Release(ref program.Ref, ids []string) {
+	key := CacheKey(ref)
+	if !t.inbox.add(inboxItem{key, slices.Clone(ids)}) {
+		t.log.WithFields(logrus.Fields{"event": "release_not_queued", "program": key}).Error("too many releases are pending")
+	}
+}
+
+// PendingReleases returns how many releases are not confirmed yet.
+func (t *Targets) PendingReleases() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.releases) + t.inbox.size()
+}
+
+// admitReleases turns the inbox into pending releases. The caller holds the lock.
+func (t *Targets) admitReleases() {
+	now := t.now()
+	for _, item := range t.inbox.take() {
+		for _, id := range slices.Concat(item.ids, t.registry.Holders(item.program)) {
+			k := releaseKey{id, item.program}
+			if t.releases[k] == nil && len(t.releases) < maxPendingReleases {
+				t.releases[k] = &pendingRelease{request: newID(), since: now}
+			}
+		}
+	}
+}
+
+// repeatReleases sends all pending releases to their owners.
+func (t *Targets) repeatReleases(ctx context.Context) {
+	t.mu.Lock()
+	t.admitReleases()
+	here, away := t.groupReleases()
+	t.settle(here, t.releaseHere(here))
+	t.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(effectWorkers)
+	for owner, items := range away {
+		g.Go(func() error { t.releaseAt(ctx, owner, items); return nil })
+	}
+	_ = g.Wait()
+}
+
+// groupReleases sorts the pending releases by the VM that must carry them out.
+func (t *Targets) groupReleases() (here []releaseItem, away map[fleet.VM][]releaseItem) {
+	p := t.refresh()
+	now := t.now()
+	away = make(map[fleet.VM][]releaseItem)
+	for k, r := range t.releases {
+		if now-r.since >= releaseLifetime {
+			t.log.WithFields(logrus.Fields{"event": "release_abandoned", "target": k.target, "program": k.program}).Error("no owner confirmed the release")
+			delete(t.releases, k)
+			continue
+		}
+		item := releaseItem{k.target, k.program, r.request}
+		if _, ok := t.epochOf(p, k.target); ok {
+			here = append(here, item)
+			continue
+		}
+		owner, ok := t.ownerOf(p, k.target)
+		if ok && owner.VMRef != t.options.Self && len(away[owner]) < maxReleaseBatch {
+			away[owner] = append(away[owner], item)
+		}
+	}
+	return here, away
+}
+
+// releaseAt repeats releases to another owner.
+func (t *Targets) releaseAt(ctx context.Context, owner fleet.VM, items []releaseItem) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	var result releaseResult
+	err := t.options.Pool.Call(ctx, owner.RPCAddress, methodRelease, releaseCall{items}, &result)
+	if err != nil {
+		t.log.WithFields(logrus.Fields{"event": "release_not_sent", "owner": owner.ID, "releases": len(items)}).Warn(err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(items, result.Final)
+}
+
+// settle forgets the releases that are complete. The caller holds the lock.
+func (t *Targets) settle(items []releaseItem, final []bool) {
+	for i, item := range items[:min(len(items), len(final))] {
+		k := releaseKey{item.Target, item.Program}
+		if r := t.releases[k]; final[i] && r != nil && r.request == item.Request {
+			delete(t.releases, k)
+			t.log.WithFields(logrus.Fields{
+				"event": "release_confirmed", "target": item.Target, "program": item.Program, "ms": (t.now() - r.since).Milliseconds(),
+			}).Info("engine memory is free")
+		}
+	}
+}
+
+// handleRelease carries out releases on behalf of another entry.
+func (t *Targets) handleRelease(_ context.Context, params json.RawMessage) (any, error) {
+	var call releaseCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, rpc.Errorf("invalid_message", "%v", err)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return releaseResult{t.releaseHere(call.Items)}, nil
+}
+
+// releaseHere gives releases to the book and returns which are complete. Those
+// of targets that this VM does not own stay incomplete. The caller holds the lock.
+func (t *Targets) releaseHere(items []releaseItem) []bool {
+	final := make([]bool, 0, len(items))
+	for _, item := range items {
+		t.own(item.Target)
+		t.step(target.Release{Target: item.Target, Program: item.Program, Request: item.Request})
+		final = append(final, t.book.Released(item.Target, item.Program).Final())
+	}
+	return final
+}
