--- a/coord/target/cacheview.go
+++ b/coord/target/cacheview.go
@@ -25,6 +25,9 @@
 // view, because each lost event may have removed one of them. A program that is
 // reported again after the gap is fully trusted.
 type cacheView struct {
+	// index and owner make the programs findable across targets.
+	index    holderIndex
+	owner    *record
 	programs map[string]cachedPrefix
 	// distrust is the sum of -ln(factor) over all gaps.
 	distrust float64
@@ -108,18 +111,35 @@
 func (c *cacheView) apply(e CacheEvent) {
 	switch e.Kind {
 	case "cleared":
-		clear(c.programs)
+		c.clear()
 	case "removed":
-		delete(c.programs, e.Program)
-	case "stored":
-		if c.programs == nil {
-			c.programs = make(map[string]cachedPrefix)
+		if _, ok := c.programs[e.Program]; ok {
+			delete(c.programs, e.Program)
+			c.index.remove(e.Program, c.owner)
 		}
+	case "stored":
+		c.store(e.Program, cachedPrefix{max(e.Tokens, 0), c.distrust})
+	}
+}
+
+func (c *cacheView) store(program string, p cachedPrefix) {
+	if c.programs == nil {
+		c.programs = make(map[string]cachedPrefix)
+	}
+	if _, ok := c.programs[program]; !ok {
 		if len(c.programs) >= maxCachePrograms {
-			clear(c.programs)
+			c.clear()
 		}
-		c.programs[e.Program] = cachedPrefix{max(e.Tokens, 0), c.distrust}
+		c.index.add(program, c.owner)
 	}
+	c.programs[program] = p
+}
+
+func (c *cacheView) clear() {
+	for program := range c.programs {
+		c.index.remove(program, c.owner)
+	}
+	clear(c.programs)
 }
 
 // expected returns the reported prefix length times the trust in it.
@@ -128,6 +148,9 @@
 	if !ok {
 		return 0
 	}
+	if p.distrust == c.distrust {
+		return p.tokens
+	}
 	trust := math.Exp(p.distrust - c.distrust)
 	if trust < minTrust {
 		return 0
@@ -135,8 +158,17 @@
 	return int64(float64(p.tokens) * trust)
 }
 
-// holds reports whether the program may still be held, however low the trust.
-func (c *cacheView) holds(program string) bool {
-	_, ok := c.programs[program]
-	return ok
+// holderIndex finds the targets that reported a prefix of a program. A request
+// looks its program up once, instead of once in each target's view.
+type holderIndex map[string][]*record
+
+func (x holderIndex) add(program string, r *record) { x[program] = append(x[program], r) }
+
+func (x holderIndex) remove(program string, r *record) {
+	left := slices.DeleteFunc(x[program], func(other *record) bool { return other == r })
+	if len(left) == 0 {
+		delete(x, program)
+		return
+	}
+	x[program] = left
 }
--- a/coord/target/registry.go
+++ b/coord/target/registry.go
@@ -76,6 +76,7 @@
 	retired    []retiredRun
 	leaseUntil time.Duration
 	lapsed     bool
+	drained    bool
 	load       Load
 	reportAt   time.Duration
 	// answerAt is when a load came with an answer; valid when fromAnswer is set.
@@ -94,11 +95,15 @@
 	records  map[string]*record
 	services map[string][]*record
 	drained  map[string]bool
+	holders  holderIndex
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{records: make(map[string]*record), services: make(map[string][]*record), drained: make(map[string]bool)}
+	return &Registry{
+		records: make(map[string]*record), services: make(map[string][]*record),
+		drained: make(map[string]bool), holders: make(holderIndex),
+	}
 }
 
 // Announce renews a target's lease. ErrLate means that the registry already
@@ -118,7 +123,8 @@
 	case r == nil && len(g.records) >= maxTargets:
 		return ErrTooManyTargets
 	case r == nil:
-		r = &record{}
+		r = &record{drained: g.drained[a.ID]}
+		r.cache = cacheView{index: g.holders, owner: r}
 		g.records[a.ID] = r
 	case !r.newer(now, a):
 		return ErrLate
@@ -153,7 +159,9 @@
 	if len(r.retired) > maxRetired {
 		r.retired = r.retired[1:]
 	}
-	r.work, r.cache, r.fromAnswer = outstanding{}, cacheView{}, false
+	r.cache.clear()
+	r.cache = cacheView{index: r.cache.index, owner: r}
+	r.work, r.fromAnswer = outstanding{}, false
 }
 
 func (r *record) accept(now, age time.Duration, a Announcement) {
@@ -202,10 +210,20 @@
 }
 
 // Drain excludes a target from new work, known or not.
-func (g *Registry) Drain(id string) { g.drained[id] = true }
+func (g *Registry) Drain(id string) {
+	g.drained[id] = true
+	if r := g.records[id]; r != nil {
+		r.drained = true
+	}
+}
 
 // Undrain admits a target again.
-func (g *Registry) Undrain(id string) { delete(g.drained, id) }
+func (g *Registry) Undrain(id string) {
+	delete(g.drained, id)
+	if r := g.records[id]; r != nil {
+		r.drained = false
+	}
+}
 
 // Drained returns the drained targets, sorted.
 func (g *Registry) Drained() []string {
@@ -230,34 +248,43 @@
 // Candidates returns the usable targets of a service that have the model,
 // sorted by id. Targets that name no models, like plain services, match any.
 func (g *Registry) Candidates(now time.Duration, service, model, program string) []View {
-	list := g.services[service]
-	views := make([]View, 0, len(list))
-	for _, r := range list {
-		if g.usable(now, r) && r.serves(model) {
-			views = append(views, g.view(now, r, program))
+	return g.AppendCandidates(make([]View, 0, len(g.services[service])), now, service, model, program)
+}
+
+// AppendCandidates is Candidates into the caller's memory, which must be empty.
+func (g *Registry) AppendCandidates(views []View, now time.Duration, service, model, program string) []View {
+	for _, r := range g.services[service] {
+		if r.usable(now) && r.serves(model) {
+			views = append(views, View{})
+			r.fill(&views[len(views)-1], now)
+		}
+	}
+	for _, r := range g.holders[program] {
+		if at, found := slices.BinarySearchFunc(views, r.last.ID, compareViewID); found {
+			views[at].CachedTokens = r.cache.expected(program)
 		}
 	}
 	return views
 }
 
-func (g *Registry) usable(now time.Duration, r *record) bool {
-	return now < r.leaseUntil && !r.last.Leaving && !g.drained[r.last.ID]
+func compareViewID(v View, id string) int { return strings.Compare(v.ID, id) }
+
+func (r *record) usable(now time.Duration) bool {
+	return now < r.leaseUntil && !r.last.Leaving && !r.drained
 }
 
 func (r *record) serves(model string) bool {
 	return model == "" || len(r.last.Models) == 0 || slices.Contains(r.last.Models, model)
 }
 
-func (g *Registry) view(now time.Duration, r *record, program string) View {
+// fill writes the record into a view, except for the program's prefix.
+func (r *record) fill(v *View, now time.Duration) {
 	a := &r.last
-	count, tokens := r.work.total()
-	return View{
-		ID: a.ID, Incarnation: a.Incarnation, Kind: a.Kind, Service: a.Service, Address: a.Address,
-		DataCentre: a.DataCentre, Role: a.Role, Fencing: a.Fencing, Load: r.load,
-		ReportAge: now - r.reportAt, Outstanding: count, OutstandingTokens: tokens,
-		CachedTokens: r.cache.expected(program), Suspect: now < r.suspectUntil,
-		Usable: g.usable(now, r), Leaving: a.Leaving, Drained: g.drained[a.ID],
-	}
+	v.ID, v.Incarnation, v.Kind, v.Service, v.Address = a.ID, a.Incarnation, a.Kind, a.Service, a.Address
+	v.DataCentre, v.Role, v.Fencing = a.DataCentre, a.Role, a.Fencing
+	v.Load, v.ReportAge = r.load, now-r.reportAt
+	v.Outstanding, v.OutstandingTokens = r.work.total()
+	v.Suspect, v.Usable, v.Leaving, v.Drained = now < r.suspectUntil, r.usable(now), a.Leaving, r.drained
 }
 
 // Find returns the view of one target, usable or not.
@@ -266,14 +293,17 @@
 	if r == nil {
 		return View{}, false
 	}
-	return g.view(now, r, ""), true
+	var v View
+	r.fill(&v, now)
+	return v, true
 }
 
 // All returns the views of all known targets, sorted by service and id.
 func (g *Registry) All(now time.Duration) []View {
 	views := make([]View, 0, len(g.records))
 	for _, r := range g.records {
-		views = append(views, g.view(now, r, ""))
+		views = append(views, View{})
+		r.fill(&views[len(views)-1], now)
 	}
 	slices.SortFunc(views, func(a, b View) int {
 		if c := strings.Compare(a.Service, b.Service); c != 0 {
@@ -286,11 +316,9 @@
 
 // Holders returns the targets that reported a prefix of the program, sorted.
 func (g *Registry) Holders(program string) []string {
-	var ids []string
-	for id, r := range g.records {
-		if r.cache.holds(program) {
-			ids = append(ids, id)
-		}
+	ids := make([]string, 0, len(g.holders[program]))
+	for _, r := range g.holders[program] {
+		ids = append(ids, r.last.ID)
 	}
 	slices.Sort(ids)
 	return ids
@@ -351,6 +379,7 @@
 		}
 		if now-r.leaseUntil >= forgetAfter {
 			g.unindex(r)
+			r.cache.clear()
 			delete(g.records, id)
 		}
 	}
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -154,15 +154,21 @@
 // now is the time on the scale of the cores.
 func (t *Targets) now() time.Duration { return time.Since(t.started) }
 
+// viewBuffers spares each request the allocation of the registry's views.
+var viewBuffers = sync.Pool{New: func() any { return new([]target.View) }}
+
 // Candidates returns the targets that may get a request now. Program may be zero.
 func (t *Targets) Candidates(service, model string, ref program.Ref) []placement.Candidate {
 	key := ""
 	if ref.ID != "" {
 		key = CacheKey(ref)
 	}
+	buffer := viewBuffers.Get().(*[]target.View)
+	defer viewBuffers.Put(buffer)
 	t.mu.Lock()
-	views := t.registry.Candidates(t.now(), service, model, key)
+	views := t.registry.AppendCandidates((*buffer)[:0], t.now(), service, model, key)
 	t.mu.Unlock()
+	*buffer = views
 	candidates := make([]placement.Candidate, 0, len(views))
 	for i := range views {
 		candidates = append(candidates, candidate(&views[i]))
