--- a/server/emulator/host.go
+++ b/server/emulator/host.go
@@ -22,6 +22,9 @@
 	// DefaultStopGrace is how long a leaving target still waits for requests:
 	// entries may dispatch to it until they have heard that it leaves.
 	DefaultStopGrace = 3 * time.Second
+	// flushTimeout bounds the time for the last answers to leave; a connection
+	// that nobody reads from must not keep the target alive.
+	flushTimeout = 5 * time.Second
 	// stopPollInterval is how often a leaving target looks whether it is idle.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -107,7 +110,13 @@
 	if !h.drain() {
 		return ErrCrashed
 	}
-	return h.server.Close()
+	// An answer whose request has ended may still be on its way to the connection.
+	flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := h.server.Shutdown(flush); err != nil {
+		return h.server.Close()
+	}
+	return nil
 }
 
 // drain waits until the grace has passed and no request is left. It reports
