--- a/coord/target/cacheview.go
+++ b/coord/target/cacheview.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if c.next == 0 {
-			c.next = e.Sequence
+			c.next = firstExpected(e.Sequence)
 		}
 		at, found := slices.BinarySearchFunc(c.waiting, e.Sequence, compareSequence)
 		if found {
@@ -68,6 +68,15 @@
 	c.flush(now)
 }
 
+// firstExpected returns the sequence to start with. Near the beginning of a run
+// the earlier events may still be on their way; later they are simply unknown.
+func firstExpected(sequence uint64) uint64 {
+	if sequence <= maxWaitingEvents {
+		return 1
+	}
+	return sequence
+}
+
 func compareSequence(e CacheEvent, sequence uint64) int {
 	switch {
 	case e.Sequence < sequence:
--- a/coord/target/line.go
+++ b/coord/target/line.go
@@ -119,7 +119,8 @@
 		return
 	}
 	if r != nil {
-		r.since = s.now
+		// A read that started at this very time may have been taken before.
+		r.since = s.now + 1
 	}
 	s.emit(Done{l.target, f.order.ID, err})
 }
@@ -144,15 +145,10 @@
 	l.incarnation, l.ownedSince = "", s.now
 }
 
-// endRun ends the orders to the target's run. Releases start over: the program
-// may have been stored in the next run before this VM heard of it.
+// endRun ends the orders to the target's run. Releases go on: the program may
+// have been stored in the next run before this VM heard of it.
 func (s *step) endRun(l *line) {
 	s.failAll(l, ErrRestarted)
-	for _, r := range l.releases {
-		if !r.status.Final() {
-			r.reopen(s.now)
-		}
-	}
 	l.reading = 0
 }
 
--- a/coord/target/registry_test.go
+++ b/coord/target/registry_test.go
@@ -103,16 +103,20 @@
 		{"removed", append(two[:2:2], CacheEvent{Sequence: 3, Kind: "removed", Program: "p"}), 0},
 		{"cleared", append(two[:2:2], CacheEvent{Sequence: 3, Kind: "cleared"}), 0},
 		{"repeated", append(two[:2:2], two[0], two[1]), 1000},
+		{"another one repeated", append(two[:2:2], two[1]), 1000},
 		{"out of order", []CacheEvent{stored(1, "p", 700), stored(3, "p", 1000), stored(2, "p", 800)}, 1000},
 		{"gap of two in two programs", append(two[:2:2], stored(5, "q", 600)), 500},
 		{"reported again after the gap", append(two[:2:2], stored(5, "q", 600), stored(6, "p", 900)), 900},
 		{"gap that leaves no trust", append(two[:2:2], stored(500, "q", 600)), 0},
-		{"started in the middle", []CacheEvent{stored(100, "p", 1000)}, 1000},
+		{"first ones out of order", []CacheEvent{stored(2, "q", 500), stored(1, "p", 1000)}, 1000},
+		{"started in the middle", []CacheEvent{stored(100_000, "p", 1000)}, 1000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewRegistry()
 			require.NoError(t, g.Announce(0, announcement("t", "a", 1)))
-			require.NoError(t, g.CacheEvents(0, "t", "a", c.events))
+			for _, e := range c.events {
+				require.NoError(t, g.CacheEvents(0, "t", "a", []CacheEvent{e}))
+			}
 			require.NoError(t, g.Announce(time.Second, announcement("t", "a", 2)))
 			g.Expire(reorderWindow)
 			require.Equal(t, c.p, g.Candidates(reorderWindow, "s", "m", "p")[0].CachedTokens)
--- a/coord/target/release.go
+++ b/coord/target/release.go
@@ -138,7 +138,7 @@
 		return
 	}
 	l.reading = 0
-	if !e.OK || e.State.Incarnation != l.incarnation {
+	if !e.OK || e.State.ID != l.target || e.State.Incarnation != l.incarnation {
 		return
 	}
 	if l.readStart >= l.quietUntil && !anyRunning(e.State) {
