--- a/server/emulator/emulator_test.go
+++ b/server/emulator/emulator_test.go
@@ -217,10 +217,10 @@
 	r.Stream = true
 	data, err := json.Marshal(r)
 	require.NoError(t, err)
+	last, longest := time.Now(), time.Duration(0)
 	resp, err := http.Post("http://"+e.Address()+chatPath, "application/json", bytes.NewReader(data))
 	require.NoError(t, err)
 	defer resp.Body.Close()
-	last, longest := time.Now(), time.Duration(0)
 	buffer := make([]byte, 4096)
 	for err == nil {
 		_, err = resp.Body.Read(buffer)
@@ -270,6 +270,20 @@
 	held("d", "e")
 }
 
+// Guards against prefixes that are evicted while a request uses them.
+func TestRunningPrefixIsPinned(t *testing.T) {
+	c := newPrefixCache(100, func(string, string, int64) {})
+	for _, program := range []string{"a", "b"} {
+		c.store(program, []segment{{tokens: 40}})
+	}
+	c.submit("a")
+	c.begin("a")
+	require.True(t, c.reserve("c", 50))
+	require.Contains(t, c.entries, "a")
+	require.NotContains(t, c.entries, "b")
+	require.False(t, c.reserve("d", 50))
+}
+
 // Guards against keys that reach a target without being noticed, and ordinary
 // requests that are taken for keys.
 func TestSeen(t *testing.T) {
--- a/server/emulator/host.go
+++ b/server/emulator/host.go
@@ -24,7 +24,7 @@
 	DefaultStopGrace = 3 * time.Second
 	// flushTimeout bounds the time for the last answers to leave; a connection
 	// that nobody reads from must not keep the target alive.
-	flushTimeout = 5 * time.Second
+	flushTimeout = time.Second
 	// stopPollInterval is how often a leaving target looks whether it is idle.
 	stopPollInterval = 20 * time.Millisecond
 )
--- a/server/emulator/lifecycle_test.go
+++ b/server/emulator/lifecycle_test.go
@@ -55,7 +55,7 @@
 func TestGracefulStop(t *testing.T) {
 	t.Parallel()
 	f, address := newFakeEntry(t)
-	e, stop := startEngine(t, EngineOptions{Service: "s", Entries: []string{address}, DecodeInterval: 100 * time.Millisecond})
+	e, stop := startEngine(t, EngineOptions{Service: "s", Entries: []string{address}, DecodeInterval: flushTimeout * 2 / 5})
 	r := ask("x")
 	answer := make(chan string, 1)
 	go func() {
--- a/server/targets/targets_test.go
+++ b/server/targets/targets_test.go
@@ -210,7 +210,7 @@
 			f.change(func() { f.epoch, f.owner = 2, nodes[1].vm.VMRef })
 		}},
 		{"stored again", always(nil), func(t *testing.T, _ *fakeFleet, nodes []*node, e *emulator.Engine) {
-			require.Eventually(t, func() bool { return !e.State().Holds(CacheKey(testProgram)) }, bound, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return nodes[1].PendingReleases() == 0 }, bound, 10*time.Millisecond)
 			chat(t, e)
 			require.True(t, e.State().Holds(CacheKey(testProgram)))
 		}},
@@ -228,6 +228,9 @@
 				if c.act != nil {
 					c.act(t, f, nodes, e)
 				}
+				if c.name == "stored again" {
+					start = time.Now()
+				}
 				require.Eventually(t, func() bool { return !e.State().Holds(CacheKey(testProgram)) }, bound-time.Since(start), 10*time.Millisecond)
 				require.Eventually(t, func() bool { return nodes[1].PendingReleases() == 0 }, bound, 10*time.Millisecond)
 				require.False(t, e.State().Holds(CacheKey(testProgram)), "confirmed although the program is held")
@@ -276,6 +279,39 @@
 	}
 }
 
+// Guards against leases that grow while an announcement waits for a slow entry.
+func TestForwardedAge(t *testing.T) {
+	t.Parallel()
+	_, nodes := newFleet(t, 2)
+	a := target.Announcement{ID: "e1", Incarnation: "i", Kind: "engine", Service: testService, Address: "127.0.0.1:9", LeaseMS: 3000, Sequence: 1}
+	nodes[0].mu.Lock()
+	nodes[0].outbox.announce(nodes[1].vm, nodes[0].now()-2*time.Second, a)
+	nodes[0].mu.Unlock()
+	sees(t, nodes[1], time.Second, count(1))
+	require.GreaterOrEqual(t, nodes[1].Candidates(testService, "", program.Ref{})[0].ReportAge, 2*time.Second)
+	sees(t, nodes[1], 1100*time.Millisecond, count(0))
+}
+
+// Guards against orders that a VM still sends, or whose caller still waits, after
+// the VM has lost the target's shard.
+func TestLostOwnership(t *testing.T) {
+	t.Parallel()
+	f, nodes := newFleet(t, 2)
+	e, _ := startEngine(t, emulator.EngineOptions{ID: "e1", Fencing: target.FencingIgnored}, nodes...)
+	sees(t, nodes[0], 2*time.Second, count(1))
+	outcome := make(chan error, 1)
+	go func() { outcome <- nodes[0].Order(t.Context(), "e1", target.Order{Kind: "set_role", Argument: "x"}) }()
+	time.Sleep(2 * tickInterval)
+	send := target.Send{Target: "e1", Order: target.Order{ID: "o", Fencing: 1, Kind: "set_role", Argument: "x", DeadlineMS: 1000}, Expires: time.Hour}
+	f.change(func() { f.epoch, f.owner = 2, nodes[1].vm.VMRef })
+	start := time.Now()
+	require.ErrorIs(t, <-outcome, target.ErrNotOwner)
+	require.Less(t, time.Since(start), time.Second, "the loss is noticed at the next tick, before the order could be sent")
+	answer := nodes[0].sendOrder(t.Context(), effect{send: &send, address: e.Address()})
+	require.Equal(t, target.AnswerNotDelivered, answer.Outcome)
+	require.Empty(t, e.State().Role)
+}
+
 // Guards against a view that depends on how many targets announce at once.
 func TestManyTargets(t *testing.T) {
 	t.Parallel()
