--- /dev/null
+++ b/server/settings/findings.go
@@ -0,0 +1,262 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Finding is one fault in a settings file.
+type Finding struct {
+	// File is the settings file.
+	File string
+	// Path is the JSON path of the fault, such as vm.rpc_address.
+	Path string
+	// Line is the line of the fault; 0 when unknown.
+	Line int
+	// Message says what is wrong.
+	Message string
+
+	fatal bool
+}
+
+// String returns the finding as file:line: path: message.
+func (f Finding) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File + ":")
+	}
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "%d:", f.Line)
+	}
+	if f.Path != "" {
+		b.WriteString(" " + f.Path + ":")
+	}
+	b.WriteString(" " + f.Message)
+	return strings.TrimSpace(b.String())
+}
+
+// Findings are all faults of a settings file.
+type Findings []Finding
+
+// Err returns the findings as one error, or nil when there are none.
+func (f Findings) Err() error {
+	var errs []error
+	for _, finding := range f {
+		errs = append(errs, errors.New(finding.String()))
+	}
+	return errors.Join(errs...)
+}
+
+// lineIndex maps JSON paths to line numbers.
+type lineIndex map[string]int
+
+// line returns the line of the path or of its nearest parent.
+func (x lineIndex) line(path string) int {
+	for path != "" {
+		if n, ok := x[path]; ok {
+			return n
+		}
+		path = path[:max(strings.LastIndexByte(path, '.'), 0)]
+	}
+	return 1
+}
+
+//go:embed settings.schema.json
+var schemaJSON []byte
+
+var schema = compileSchema()
+
+func compileSchema() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaJSON))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("settings.schema.json", doc); err != nil {
+		panic(err)
+	}
+	return c.MustCompile("settings.schema.json")
+}
+
+func checkSchema(data []byte, lines lineIndex) Findings {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Findings{{Message: err.Error(), fatal: true}}
+	}
+	var invalid *jsonschema.ValidationError
+	if err := schema.Validate(doc); !errors.As(err, &invalid) {
+		return nil
+	}
+	var findings Findings
+	collect(invalid, lines, &findings)
+	slices.SortStableFunc(findings, func(a, b Finding) int { return a.Line - b.Line })
+	return findings
+}
+
+var printer = message.NewPrinter(language.English)
+
+func collect(e *jsonschema.ValidationError, lines lineIndex, findings *Findings) {
+	for _, cause := range e.Causes {
+		collect(cause, lines, findings)
+	}
+	if len(e.Causes) > 0 {
+		return
+	}
+	path := strings.Join(e.InstanceLocation, ".")
+	*findings = append(*findings, Finding{Path: path, Line: lines.line(path), Message: e.ErrorKind.LocalizedString(printer)})
+}
+
+// scan walks the tokens of a document, notes the line of each path and reports
+// syntax errors and duplicate keys, which the decoder would accept silently.
+func scan(data []byte) (lineIndex, Findings) {
+	s := scanner{data: data, d: json.NewDecoder(bytes.NewReader(data)), lines: make(lineIndex)}
+	err := s.value("")
+	if err == nil && s.d.More() {
+		err = errors.New("unexpected content after the end of the document")
+	}
+	if err != nil {
+		return nil, Findings{{Line: s.line(), Message: "invalid JSON: " + err.Error(), fatal: true}}
+	}
+	return s.lines, s.findings
+}
+
+type scanner struct {
+	data     []byte
+	d        *json.Decoder
+	lines    lineIndex
+	findings Findings
+}
+
+func (s *scanner) line() int {
+	offset := min(int(s.d.InputOffset()), len(s.data))
+	return 1 + bytes.Count(s.data[:offset], []byte("\n"))
+}
+
+func (s *scanner) value(path string) error {
+	token, err := s.d.Token()
+	if err != nil {
+		return err
+	}
+	if _, seen := s.lines[path]; !seen {
+		s.lines[path] = s.line()
+	}
+	switch token {
+	case json.Delim('{'):
+		return s.object(path)
+	case json.Delim('['):
+		return s.array(path)
+	}
+	return nil
+}
+
+func (s *scanner) object(path string) error {
+	seen := make(map[string]bool)
+	for s.d.More() {
+		token, err := s.d.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		child := join(path, key)
+		if seen[key] {
+			s.findings = append(s.findings, Finding{Path: child, Line: s.line(), Message: "duplicate key"})
+		}
+		seen[key] = true
+		if err := s.value(child); err != nil {
+			return err
+		}
+	}
+	_, err := s.d.Token()
+	return err
+}
+
+func (s *scanner) array(path string) error {
+	for i := 0; s.d.More(); i++ {
+		if err := s.value(join(path, strconv.Itoa(i))); err != nil {
+			return err
+		}
+	}
+	_, err := s.d.Token()
+	return err
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// check reports what the schema cannot express.
+func (s Settings) check(lines lineIndex) Findings {
+	var findings Findings
+	report := func(path, format string, args ...any) {
+		findings = append(findings, Finding{Path: path, Line: lines.line(path), Message: fmt.Sprintf(format, args...)})
+	}
+	checkAddress := func(path, address string) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			report(path, "%q is not an IP address and port", address)
+		}
+	}
+	checkAddress("vm.rpc_address", s.VM.RPCAddress)
+	checkAddress("vm.http_address", s.VM.HTTPAddress)
+	if s.VM.RPCAddress == s.VM.HTTPAddress {
+		report("vm.http_address", "equals vm.rpc_address")
+	}
+	if !slices.Contains(s.Deployment.DataCentres, s.VM.DataCentre) {
+		report("vm.data_centre", "%q is not listed in deployment.data_centres", s.VM.DataCentre)
+	}
+	owners := make(map[string]string)
+	for _, name := range sortedKeys(s.Control.Members) {
+		path, address := "control.members."+name, s.Control.Members[name]
+		checkAddress(path, address)
+		if other, taken := owners[address]; taken {
+			report(path, "has the address of %s", other)
+		}
+		owners[address] = name
+	}
+	if len(s.Control.Members)%2 == 0 {
+		report("control.members", "an even number of members tolerates no more failures than one less; use 1, 3, 5 or 7")
+	}
+	if s.VM.Role == "control" {
+		s.checkControl(report)
+	}
+	return findings
+}
+
+func (s Settings) checkControl(report func(path, format string, args ...any)) {
+	if s.Control.DataDir == "" {
+		report("control.data_dir", "is required for role control")
+	}
+	if s.Control.AdminToken == "" {
+		report("control.admin_token", "is required for role control")
+	}
+	address, member := s.Control.Members[s.VM.ID]
+	if !member {
+		report("vm.id", "%q is not a control member", s.VM.ID)
+		return
+	}
+	if address != s.VM.RPCAddress {
+		report("vm.rpc_address", "differs from control.members.%s (%s)", s.VM.ID, address)
+	}
+}
+
+func sortedKeys(m map[string]string) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
