--- /dev/null
+++ b/coord/retry/retry_test.go
@@ -0,0 +1,60 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a second run of a non-idempotent request, a stitched answer,
+// a false "not run", and a crashing request that reaches a third target.
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		attempt Attempt
+		want    Action
+	}{
+		{"completed", Attempt{Result: Completed, Number: 1}, Done},
+		{"not sent", Attempt{Result: NotSent, Number: 1, NonIdempotent: true}, TryAnother},
+		{"rejected by the target", Attempt{Result: Rejected, Number: 1, NonIdempotent: true}, TryAnother},
+		{"rejected everywhere", Attempt{Result: Rejected, Number: MaxAttempts}, RefuseNotRun},
+		{"rejected after a crash", Attempt{Result: Rejected, Number: MaxAttempts, Crashes: 1, Uncertain: true}, FailUnknown},
+		{"first crash", Attempt{Result: Crashed, Number: 1, Crashes: 1}, TryAnother},
+		{"second crash", Attempt{Result: Crashed, Number: 2, Crashes: 2, Uncertain: true}, FailUnknown},
+		{"crash of a non-idempotent request", Attempt{Result: Crashed, Number: 1, Crashes: 1, NonIdempotent: true}, FailUnknown},
+		{"crash after a part was streamed", Attempt{Result: Crashed, Number: 1, Crashes: 1, Streamed: true}, FailUnknown},
+		{"silent connection", Attempt{Result: Silent, Number: 1}, TryAnother},
+		{"silent connection, non-idempotent", Attempt{Result: Silent, Number: 1, NonIdempotent: true}, FailUnknown},
+		{"cancelled", Attempt{Result: Cancelled, Number: 1}, FailUnknown},
+	} {
+		require.Equal(t, c.want, Next(c.attempt), c.name)
+	}
+}
+
+// Guards against any sequence of attempts that breaks the rules above.
+func TestNextSequences(t *testing.T) {
+	results := []Result{NotSent, Rejected, Crashed, Silent, Cancelled}
+	var walk func(a Attempt)
+	walk = func(a Attempt) {
+		for _, r := range results {
+			next := a
+			next.Result, next.Number = r, a.Number+1
+			if r == Crashed {
+				next.Crashes++
+			}
+			action := Next(next)
+			ran := next.Uncertain || mayHaveRun(r)
+			require.False(t, action == RefuseNotRun && ran, "%+v", next)
+			if action != TryAnother {
+				continue
+			}
+			require.False(t, next.NonIdempotent && ran, "%+v", next)
+			require.Less(t, next.Crashes, MaxCrashes, "%+v", next)
+			require.Less(t, next.Number, MaxAttempts, "%+v", next)
+			next.Uncertain = ran
+			walk(next)
+		}
+	}
+	walk(Attempt{})
+	walk(Attempt{NonIdempotent: true})
+}
