--- /dev/null
+++ b/coord/placement/policy.go
@@ -0,0 +1,57 @@
+package placement
+
+import "time"
+
+// Policy holds the constants of the placement and priority rules. They are the
+// same for every profile; profiles differ in Weights only.
+type Policy struct {
+	// Sample is how many candidates are weighed besides those that hold the
+	// program's prefix.
+	Sample int
+	// ReportHalfLife is the age at which a load report counts half. The other
+	// half is the mean load of the weighed candidates.
+	ReportHalfLife time.Duration
+	// QueueTokens is the cost of a full batch of waiting requests, as a number
+	// of prefill tokens.
+	QueueTokens float64
+	// BusyTokens is the cost of a full running batch, as a number of prefill
+	// tokens.
+	BusyTokens float64
+	// MaxQueue is the number of waiting batches at which a target takes no new
+	// programs.
+	MaxQueue float64
+	// MaxQueueStarted is the number of waiting batches at which a target takes
+	// no further calls of started programs. It is above MaxQueue because a
+	// refusal there loses the work done so far.
+	MaxQueueStarted float64
+	// BatchTime is the usual time in which a full batch is served; it scales
+	// RetryAfter.
+	BatchTime time.Duration
+}
+
+// DefaultPolicy returns the constants that the policy bench has checked.
+func DefaultPolicy() Policy {
+	return Policy{
+		Sample:          16,
+		ReportHalfLife:  3 * time.Second,
+		QueueTokens:     20000,
+		BusyTokens:      2000,
+		MaxQueue:        8,
+		MaxQueueStarted: 16,
+		BatchTime:       5 * time.Second,
+	}
+}
+
+// Reasons of decisions.
+const (
+	// ReasonCached means that the target holds a part of the prefix.
+	ReasonCached = "cached"
+	// ReasonLoad means that the target has the lowest cost without a prefix.
+	ReasonLoad = "load"
+	// ReasonSuspect means that only suspect targets were left.
+	ReasonSuspect = "suspect"
+	// ReasonOverloaded means that every weighed target is full.
+	ReasonOverloaded = "overloaded"
+	// ReasonNoTarget means that there are no candidates.
+	ReasonNoTarget = "no_target"
+)
