--- a/coord/fleet/types.go
+++ b/coord/fleet/types.go
@@ -161,6 +161,9 @@
 	Version uint64 `json:"version"`
 	// Owner orders the shard's records.
 	Owner VMRef `json:"owner"`
+	// Previous is the owner of the epoch before, if it was live when the shard
+	// was moved: its lease may still be valid. It is empty if that lease had expired.
+	Previous VMRef `json:"previous,omitzero"`
 	// InSync hold every committed record; the owner is one of them.
 	InSync []VMRef `json:"in_sync"`
 	// Replicas are all VMs that hold or copy the shard, the in-sync ones included.
@@ -181,6 +184,8 @@
 	ID string `json:"id"`
 	// Draining excludes the target.
 	Draining bool `json:"draining"`
+	// Revision is the revision of the last change.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Deployment holds what is fixed when a deployment is created.
@@ -189,6 +194,12 @@
 	Shards int `json:"shards"`
 	// Replicas is the number of copies of each shard, the owner's included.
 	Replicas int `json:"replicas"`
+	// RecreateLostShards lets the planner replace a shard by an empty one when
+	// every VM that held all of its records is dead. The records are then lost
+	// for good, so the default is to wait for a VM to come back or for an operator.
+	RecreateLostShards bool `json:"recreate_lost_shards,omitempty"`
+	// Revision is the revision of the last change.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Command is one change; exactly one of its pointers is set.
@@ -212,6 +223,8 @@
 	DrainTarget        *TargetDrain  `json:"drain_target,omitempty"`
 	Assign             *Assignment   `json:"assign,omitempty"`
 	Configure          *Deployment   `json:"configure,omitempty"`
+	// RecreateShard replaces a shard, whose records are lost, by an empty one.
+	RecreateShard *Assignment `json:"recreate_shard,omitempty"`
 }
 
 // Result is the outcome of a command.
