--- /dev/null
+++ b/server/wal/files.go
@@ -0,0 +1,144 @@
+package wal
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"hemlockvale.dev/coord/raft"
+)
+
+const (
+	identityFile    = "identity.json"
+	segmentPrefix   = "segment-"
+	segmentSuffix   = ".log"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+	// firstSegment is the number of a new directory's segment.
+	firstSegment = 1
+)
+
+// position identifies a snapshot by its last entry.
+type position struct{ index, term uint64 }
+
+func segmentName(number uint64) string {
+	return fmt.Sprintf("%s%016d%s", segmentPrefix, number, segmentSuffix)
+}
+
+func snapshotName(p position) string {
+	return fmt.Sprintf("%s%016d-%016d", snapshotPrefix, p.term, p.index)
+}
+
+// listSegments returns the numbers of the segments in ascending order.
+func listSegments(dir string) ([]uint64, error) {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var numbers []uint64
+	for _, f := range files {
+		digits, isSegment := strings.CutPrefix(f.Name(), segmentPrefix)
+		digits, complete := strings.CutSuffix(digits, segmentSuffix)
+		if !isSegment || !complete {
+			continue
+		}
+		n, err := strconv.ParseUint(digits, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("unexpected file %s: %w", f.Name(), err)
+		}
+		numbers = append(numbers, n)
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	return numbers, nil
+}
+
+// readIdentity reads the replica's identity, if there is one.
+func (l *Log) readIdentity(name string) (id raft.ReplicaID, found bool, err error) {
+	path := filepath.Join(l.dir, identityFile)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return id, false, nil
+	}
+	if err != nil {
+		return id, false, err
+	}
+	if err := json.Unmarshal(data, &id); err != nil {
+		return id, false, &CorruptionError{File: path, Reason: err.Error()}
+	}
+	if id.Name != name || id.Storage == "" {
+		return id, false, fmt.Errorf("%s belongs to replica %q, not to %q", path, id, name)
+	}
+	return id, true, nil
+}
+
+func (l *Log) createIdentity(name string) (raft.ReplicaID, error) {
+	id := raft.ReplicaID{Name: name, Storage: uuid.NewString()}
+	data, err := json.Marshal(id)
+	if err != nil {
+		return id, err
+	}
+	f, err := l.writeFile(identityFile, data)
+	if err != nil {
+		return id, err
+	}
+	return id, errors.Join(f.Close(), l.syncDir())
+}
+
+// writeFile writes a complete file under a temporary name, syncs and renames
+// it. It returns the open file, positioned at its end.
+func (l *Log) writeFile(name string, data []byte) (*os.File, error) {
+	path := filepath.Join(l.dir, name)
+	f, err := os.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = l.sync(f)
+	}
+	if err == nil {
+		err = os.Rename(path+temporarySuffix, path)
+	}
+	if err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// syncDir makes renames durable.
+func (l *Log) syncDir() error {
+	d, err := os.Open(l.dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return l.sync(d)
+}
+
+// removeStale deletes everything that the current segment does not refer to.
+func (l *Log) removeStale(index, term uint64) error {
+	keep := map[string]bool{segmentName(l.number): true, snapshotName(position{index, term}): true}
+	files, err := os.ReadDir(l.dir)
+	if err != nil {
+		return l.fail(err)
+	}
+	for _, f := range files {
+		ours := strings.HasPrefix(f.Name(), segmentPrefix) || strings.HasPrefix(f.Name(), snapshotPrefix)
+		if !ours || keep[f.Name()] {
+			continue
+		}
+		if err := os.Remove(filepath.Join(l.dir, f.Name())); err != nil {
+			return l.fail(err)
+		}
+	}
+	return nil
+}
