--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,12 @@
 
 clean:
 	rm -rf $(BIN) var
+
+demo: build
+	$(BIN)/hemlockvaled dev --demo
+
+fleet: build
+	scripts/fleet.sh start
+
+fleet-stop:
+	scripts/fleet.sh stop
--- /dev/null
+++ b/cmd/hemlockctl/apply.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"hemlockvale.dev/server/client"
+)
+
+func applyCommand(o *options) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "apply --file FILE",
+		Short: "Write the organisations, profiles and services of a file",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			configuration, err := readConfiguration(file)
+			if err != nil {
+				return err
+			}
+			admin, err := o.admin()
+			if err != nil {
+				return err
+			}
+			if err := admin.Apply(cmd.Context(), configuration); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "applied %d organisations, %d profiles, %d services\n",
+				len(configuration.Organisations), len(configuration.Profiles), len(configuration.Services))
+			return nil
+		},
+	}
+	fileFlag(cmd, &file)
+	return cmd
+}
+
+func fileFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVarP(file, "file", "f", "", "JSON file")
+	// The flag exists, so marking it cannot fail.
+	_ = cmd.MarkFlagRequired("file")
+}
+
+func readConfiguration(file string) (client.Configuration, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return client.Configuration{}, usageError{err}
+	}
+	configuration, err := client.ParseConfiguration(data)
+	if err != nil {
+		return configuration, usageError{fmt.Errorf("%s: %w", file, err)}
+	}
+	return configuration, nil
+}
--- /dev/null
+++ b/server/dev/dev.go
@@ -0,0 +1,230 @@
+// Package dev runs a small deployment in one process on loopback, with
+// emulated targets, for a first try and for the demonstration.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/server/client"
+	"hemlockvale.dev/server/daemon"
+	"hemlockvale.dev/server/emulator"
+	"hemlockvale.dev/server/settings"
+)
+
+// Names of the deployment's objects.
+const (
+	Organisation  = "valley-pantry"
+	Model         = "pickup-chat"
+	EngineService = "agent-llm"
+	PlainService  = "exchange-app"
+
+	profileName = "valley-pantry-default"
+	adminToken  = "development-admin-token"
+	region      = "gulf-plains"
+)
+
+var dataCentres = []string{"valley-east", "coastal-bend", "border-west"}
+
+const (
+	// startTimeout bounds the start of the deployment.
+	startTimeout = 30 * time.Second
+	// startPoll is the time between checks during the start.
+	startPoll = 50 * time.Millisecond
+	// addressLifetimeMS is short, so that the planned stop is short too.
+	addressLifetimeMS = 200
+)
+
+// Deployment is a running deployment.
+type Deployment struct {
+	// ControlAddress is the operators' HTTP address.
+	ControlAddress string
+	// EntryAddresses are the callers' HTTP addresses.
+	EntryAddresses []string
+	// AdminToken authenticates operators.
+	AdminToken string
+	// Key is a key of Organisation.
+	Key string
+
+	dataDir string
+	group   *errgroup.Group
+	stop    context.CancelFunc
+}
+
+// Start starts one control VM, three entries, two engines and a plain service.
+func Start(ctx context.Context, log *logrus.Logger) (*Deployment, error) {
+	dataDir, err := os.MkdirTemp("", "hemlockvale-dev-")
+	if err != nil {
+		return nil, err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group, running := errgroup.WithContext(running)
+	d := &Deployment{AdminToken: adminToken, dataDir: dataDir, group: group, stop: stop}
+	if err := d.start(ctx, running, log); err != nil {
+		return nil, errors.Join(err, d.Stop())
+	}
+	return d, nil
+}
+
+// Stop stops the deployment without cutting a request short.
+func (d *Deployment) Stop() error {
+	d.stop()
+	return errors.Join(d.group.Wait(), os.RemoveAll(d.dataDir))
+}
+
+// Admin returns the operators' client.
+func (d *Deployment) Admin() *client.Admin {
+	return &client.Admin{Addresses: []string{d.ControlAddress}, Token: d.AdminToken}
+}
+
+func (d *Deployment) start(ctx, running context.Context, log *logrus.Logger) error {
+	all, err := d.settings()
+	if err != nil {
+		return err
+	}
+	for _, s := range all {
+		d.group.Go(func() error { return daemon.Run(running, s, log.WithField("vm", s.VM.ID)) })
+	}
+	if err := d.startTargets(running, log); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := retryUntil(ctx, func() error { return d.Admin().Apply(ctx, configuration()) }); err != nil {
+		return fmt.Errorf("apply the configuration: %w", err)
+	}
+	key, err := d.Admin().IssueKey(ctx, Organisation, "development", uuid.NewString())
+	if err != nil {
+		return fmt.Errorf("issue a key: %w", err)
+	}
+	d.Key = key.Secret
+	if err := retryUntil(ctx, func() error { return d.ready(ctx) }); err != nil {
+		return fmt.Errorf("wait for the entries: %w", err)
+	}
+	return nil
+}
+
+// ready makes one call through each entry.
+func (d *Deployment) ready(ctx context.Context) error {
+	for _, address := range d.EntryAddresses {
+		caller := client.Caller{Address: address, Key: d.Key}
+		probe := client.Chat{Model: Model, MaxTokens: 1, Messages: []client.Message{{Role: "user", Content: "ready? " + uuid.NewString()}}}
+		if _, err := caller.Chat(ctx, probe, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) settings() ([]settings.Settings, error) {
+	addresses, err := freeAddresses(2 * (1 + len(dataCentres)))
+	if err != nil {
+		return nil, err
+	}
+	d.ControlAddress = addresses[1]
+	base := settings.Default()
+	base.Deployment.Name = "development"
+	base.Deployment.DataCentres = dataCentres
+	base.Control = settings.Control{Members: map[string]string{"control-1": addresses[0]}}
+	base.Entry.AddressLifetimeMS = addressLifetimeMS
+
+	control := base
+	control.VM = settings.VM{ID: "control-1", Role: "control", Region: region, DataCentre: dataCentres[0], RPCAddress: addresses[0], HTTPAddress: addresses[1]}
+	control.Control.DataDir = filepath.Join(d.dataDir, "control-1")
+	control.Control.AdminToken = adminToken
+	all := []settings.Settings{control}
+	for i, dataCentre := range dataCentres {
+		entry := base
+		entry.VM = settings.VM{
+			ID: fmt.Sprintf("entry-%d", i+1), Role: "entry", Region: region, DataCentre: dataCentre,
+			RPCAddress: addresses[2*i+2], HTTPAddress: addresses[2*i+3],
+		}
+		d.EntryAddresses = append(d.EntryAddresses, entry.VM.HTTPAddress)
+		all = append(all, entry)
+	}
+	return all, nil
+}
+
+func (d *Deployment) startTargets(running context.Context, log *logrus.Logger) error {
+	for i, fencing := range []string{"enforced", "ignored"} {
+		id := fmt.Sprintf("engine-%d", i+1)
+		engine, err := emulator.NewEngine(emulator.EngineOptions{
+			ID: id, Service: EngineService, Address: "127.0.0.1:0", DataCentre: dataCentres[i], Models: []string{Model},
+			Fencing: fencing, Entries: d.EntryAddresses, Log: log.WithField("target", id),
+		})
+		if err != nil {
+			return err
+		}
+		d.group.Go(func() error { return engine.Run(running) })
+	}
+	service, err := emulator.NewService(emulator.ServiceOptions{
+		ID: "exchange-1", Service: PlainService, Address: "127.0.0.1:0", DataCentre: dataCentres[2],
+		Entries: d.EntryAddresses, Log: log.WithField("target", "exchange-1"),
+	})
+	if err != nil {
+		return err
+	}
+	d.group.Go(func() error { return service.Run(running) })
+	return nil
+}
+
+func configuration() client.Configuration {
+	return client.Configuration{
+		Services: []fleet.Service{{Name: EngineService, Kind: "engine"}, {Name: PlainService, Kind: "service"}},
+		Profiles: []fleet.Profile{{
+			Name:         profileName,
+			Organisation: Organisation,
+			Limits:       fleet.Limits{RatePerSecond: 200, Burst: 400},
+			Models:       []string{Model},
+			Budget:       fleet.Budget{MaxCalls: 220, MaxTokens: 620_000, MaxSeconds: 3600},
+			Policy:       fleet.PolicyWeights{Latency: 1, Fairness: 0.3},
+			Routes:       []fleet.Route{{Service: PlainService, Method: "POST", PathPrefix: "/pickups", NonIdempotent: true}},
+			Resend:       fleet.Resend{WindowMS: 600_000, Identify: "body"},
+		}},
+		Organisations: []fleet.Organisation{{ID: Organisation, Name: "Valley Pantry", Profile: profileName}},
+	}
+}
+
+func retryUntil(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(startPoll):
+		}
+	}
+}
+
+// freeAddresses reserves ports by binding them once.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -101,7 +101,7 @@
 		return newProblem("owner_unavailable", executed, "%v", err).retry(time.Second)
 	}
 	if quarantined {
-		return newProblem("request_quarantined", executed, "an equal request took %d targets down", retry.MaxCrashes)
+		return newProblem("request_quarantined", executed, "an equal request took %d targets down; fingerprint %016x", retry.MaxCrashes, c.fingerprint)
 	}
 	return nil
 }
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -95,6 +95,7 @@
 	r.HandleFunc("/v1/chat/completions", e.serveChat).Methods(http.MethodPost)
 	r.HandleFunc("/v1/programs/{id:.+}/history", e.serveHistory).Methods(http.MethodGet)
 	r.HandleFunc("/v1/programs/{id:.+}", e.serveEndProgram).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/quarantine/{organisation}/{fingerprint}", e.serveClearQuarantine).Methods(http.MethodDelete)
 	r.PathPrefix("/services/{service}").HandlerFunc(e.serveService)
 	r.NotFoundHandler = problemHandler("not_found")
 	r.MethodNotAllowedHandler = problemHandler("method_not_allowed")
