--- a/cmd/hemlockctl/status.go
+++ b/cmd/hemlockctl/status.go
@@ -41,7 +41,7 @@
 			RunE: func(cmd *cobra.Command, args []string) error {
 				return o.send(cmd.Context(), cmd, client.Request{
 					Method: http.MethodPost, Path: "/v1/admin/quorum/voters", Operation: operationOrNew(""),
-					Body: map[string]string{"name": args[0], "storage": args[1], "address": args[2]},
+					Body: map[string]string{"name": args[0], "storage": args[1], "rpc_address": args[2]},
 				}, "voter "+args[0]+" added")
 			},
 		},
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -60,6 +60,8 @@
 		Self:      r.self,
 		Pool:      p.pool,
 		State:     func() shardhost.FleetView { return r.follower.Fleet() },
+		ShardOf:   fleet.ShardOf,
+		Metrics:   p.registry,
 		Control:   &controlCaller{pool: p.pool, addresses: control},
 		Log:       p.log,
 		OnRelease: func(ref program.Ref, ids []string) { r.targets.Release(ref, ids) },
@@ -68,7 +70,8 @@
 		Self: r.self, Pool: p.pool, State: r.follower.Fleet, Owns: r.host.Owns, Log: p.log,
 	})
 	r.targets = targets.New(targets.Options{
-		Self: r.self, Pool: p.pool, State: func() targets.FleetView { return r.follower.Fleet() }, Owns: r.host.Epoch, Log: p.log,
+		Self: r.self, Pool: p.pool, State: func() targets.FleetView { return r.follower.Fleet() }, ShardOf: fleet.ShardOf,
+		Owns: r.host.Epoch, Log: p.log, Metrics: p.registry,
 	})
 	r.entry = entry.New(entry.Options{
 		Settings: p.settings, Self: r.self, Configuration: r.follower, Programs: r.host, Limiter: r.limits,
--- a/server/settings/findings.go
+++ b/server/settings/findings.go
@@ -226,6 +226,13 @@
 		}
 		owners[address] = name
 	}
+	for _, name := range sortedKeys(s.Control.HTTPAddresses) {
+		path := "control.http_addresses." + name
+		checkAddress(path, s.Control.HTTPAddresses[name])
+		if _, member := s.Control.Members[name]; !member {
+			report(path, "%q is not a control member", name)
+		}
+	}
 	if len(s.Control.Members)%2 == 0 {
 		report("control.members", "an even number of members tolerates no more failures than one less; use 1, 3, 5 or 7")
 	}
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -54,6 +54,10 @@
 type Control struct {
 	// Members maps names of control VMs to their RPC addresses.
 	Members map[string]string `json:"members"`
+	// HTTPAddresses maps names of control VMs to their HTTP addresses, for forwarding operators to the leader.
+	HTTPAddresses map[string]string `json:"http_addresses"`
+	// RecreateLostShards lets control create a shard empty when all its copies are lost.
+	RecreateLostShards bool `json:"recreate_lost_shards"`
 	// DataDir holds all durable state of a control VM.
 	DataDir string `json:"data_dir"`
 	// AdminToken authenticates operators.
