--- /dev/null
+++ b/coord/program/settle.go
@@ -0,0 +1,41 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrUnknownCall reports a FinishCall for a call that the program does not know.
+var ErrUnknownCall = errors.New("unknown call")
+
+// ErrAlreadySettled reports a FinishCall for a call that was settled with another outcome.
+var ErrAlreadySettled = errors.New("call already settled with another outcome")
+
+// DecideFinish returns the record that settles a call. Both results are nil if
+// an equal settlement is already recorded. The call is found by sequence,
+// whatever the epoch of its ticket: it may have been started under an earlier owner.
+func (t *Table) DecideFinish(f FinishCall) (*Settle, error) {
+	p := t.programs[f.Ticket.Program]
+	switch {
+	case p == nil:
+		return nil, fmt.Errorf("%w: program %s does not exist", ErrUnknownCall, f.Ticket.Program.ID)
+	case p.running != nil && p.running.Sequence == f.Ticket.Sequence:
+		return &Settle{
+			Program: p.ref, Sequence: f.Ticket.Sequence, Reserved: p.running.Reserved, Outcome: f.Outcome,
+			TokensUsed: max(f.TokensUsed, 0), Target: f.Target, Response: f.Response, HistoryDelta: f.HistoryDelta, Head: f.Head,
+		}, nil
+	case p.settled.Sequence == f.Ticket.Sequence && p.settled.Outcome == f.Outcome:
+		return nil, nil
+	case p.settled.Sequence >= f.Ticket.Sequence:
+		return nil, fmt.Errorf("%w: sequence %d of program %s", ErrAlreadySettled, f.Ticket.Sequence, p.ref.ID)
+	}
+	return nil, fmt.Errorf("%w: sequence %d of program %s", ErrUnknownCall, f.Ticket.Sequence, p.ref.ID)
+}
+
+// Abort returns the record that settles the running call without a FinishCall.
+func (p *Program) Abort(o Outcome) *Settle {
+	return &Settle{Program: p.ref, Sequence: p.running.Sequence, Reserved: p.running.Reserved, Outcome: o}
+}
+
+// Valid says whether the outcome is one of the three that settle a call.
+func (o Outcome) Valid() bool { return o == Completed || o == NotRun || o == Unknown }
--- a/coord/program/types.go
+++ b/coord/program/types.go
@@ -46,6 +46,10 @@
 	CallTimeout time.Duration `json:"call_timeout"`
 	// Runner is the entry that will dispatch the call.
 	Runner fleet.VMRef `json:"runner"`
+	// Request identifies this attempt: a message that is delivered twice gets the same ticket.
+	Request string `json:"request,omitempty"`
+	// Revision is the fleet revision at which the runner knew itself to be registered.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Ticket allows its holder to dispatch one call.
@@ -61,6 +65,12 @@
 	AttainedTokens int64 `json:"attained_tokens"`
 	// Targets hold cache of the program.
 	Targets []string `json:"targets,omitempty"`
+	// TokenLimit is the number of tokens that were reserved for the call and that it
+	// must not exceed; 0 means that the budget does not bound tokens.
+	TokenLimit int64 `json:"token_limit,omitempty"`
+	// TimeLimit is how long the call may run: its timeout or the rest of the
+	// program's seconds, whichever is less; 0 means unbounded.
+	TimeLimit time.Duration `json:"time_limit,omitempty"`
 }
 
 // Outcome is how a call ended.
--- /dev/null
+++ b/server/shardhost/cluster_test.go
@@ -0,0 +1,215 @@
+package shardhost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/coord/program"
+	"hemlockvale.dev/server/rpc"
+)
+
+// configuration is a fake follower state.
+type configuration struct {
+	revision    uint64
+	shards      int
+	assignments []fleet.Assignment
+	vms         []fleet.VM
+}
+
+func (c *configuration) Revision() uint64                { return c.revision }
+func (c *configuration) Shards() int                     { return c.shards }
+func (c *configuration) Assignments() []fleet.Assignment { return c.assignments }
+func (c *configuration) VMs() []fleet.VM                 { return c.vms }
+
+// cluster is a fake control with hosts that talk over loopback.
+type cluster struct {
+	t     testing.TB
+	mu    sync.Mutex
+	state configuration
+	nodes map[string]*node
+}
+
+type node struct {
+	host   *Host
+	vm     fleet.VM
+	server *rpc.Server
+	pool   *rpc.Pool
+	cancel context.CancelFunc
+	paused bool // control does not renew its lease
+
+	mu       sync.Mutex
+	released []program.Ref
+}
+
+func newCluster(t testing.TB, shards int, ids ...string) *cluster {
+	c := &cluster{t: t, nodes: make(map[string]*node)}
+	c.state.shards = shards
+	for i, id := range ids {
+		c.start(id, fmt.Sprintf("dc-%d", i%3))
+	}
+	refs := c.refs(ids...)
+	for s := range shards {
+		rotated := append(append([]fleet.VMRef{}, refs[s%len(refs):]...), refs[:s%len(refs)]...)
+		c.state.assignments = append(c.state.assignments, fleet.Assignment{
+			Shard: s, Epoch: 1, Version: 1, Owner: rotated[0], InSync: rotated[:1], Replicas: rotated[:min(3, len(rotated))],
+		})
+	}
+	c.state.revision++
+	t.Cleanup(func() {
+		for id := range c.nodes {
+			c.stop(id)
+		}
+	})
+	go c.poll(t.Context())
+	return c
+}
+
+func (c *cluster) start(id, dataCentre string) *node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	n := &node{pool: rpc.NewPool(time.Second), server: rpc.NewServer(logrus.NewEntry(log))}
+	n.vm = fleet.VM{VMRef: fleet.VMRef{ID: id, Incarnation: uuid.NewString()}, DataCentre: dataCentre, RPCAddress: l.Addr().String()}
+	n.host = New(Options{Self: n.vm.VMRef, Pool: n.pool, Control: c, Log: logrus.NewEntry(log), OnRelease: func(r program.Ref, _ []string) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.released = append(n.released, r)
+	}})
+	n.host.Register(n.server)
+	var ctx context.Context
+	ctx, n.cancel = context.WithCancel(context.Background())
+	go func() { _ = n.server.Serve(l) }()
+	go n.host.Run(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[id] = n
+	c.state.vms = append(c.state.vms, n.vm)
+	c.state.revision++
+	return n
+}
+
+// stop ends a VM's process; control notices through remove.
+func (c *cluster) stop(id string) {
+	c.mu.Lock()
+	n := c.nodes[id]
+	delete(c.nodes, id)
+	c.mu.Unlock()
+	n.cancel()
+	_ = n.server.Close()
+	_ = n.pool.Close()
+}
+
+// remove makes control treat a VM as dead: its shards move to in-sync replicas.
+func (c *cluster) remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dead := func(ref fleet.VMRef) bool { return ref.ID == id }
+	for i := range c.state.assignments {
+		a := &c.state.assignments[i]
+		if !contains(a.Replicas, c.vm(id).VMRef) {
+			continue
+		}
+		a.InSync, a.Replicas = without(a.InSync, dead), without(a.Replicas, dead)
+		a.Version++
+		if a.Owner.ID == id {
+			a.Owner = a.InSync[0]
+			a.Epoch++
+		}
+	}
+	var vms []fleet.VM
+	for _, vm := range c.state.vms {
+		if vm.ID != id {
+			vms = append(vms, vm)
+		}
+	}
+	c.state.vms = vms
+	c.state.revision++
+}
+
+func (c *cluster) vm(id string) fleet.VM {
+	for _, vm := range c.state.vms {
+		if vm.ID == id {
+			return vm
+		}
+	}
+	return fleet.VM{}
+}
+
+func without(refs []fleet.VMRef, drop func(fleet.VMRef) bool) []fleet.VMRef {
+	var out []fleet.VMRef
+	for _, r := range refs {
+		if !drop(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (c *cluster) refs(ids ...string) []fleet.VMRef {
+	var out []fleet.VMRef
+	for _, id := range ids {
+		out = append(out, c.nodes[id].vm.VMRef)
+	}
+	return out
+}
+
+// Call answers control.assign with a compare-and-set on the version.
+func (c *cluster) Call(_ context.Context, method string, params, _ any) error {
+	a := params.(fleet.Assignment)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if method != assignMethod || c.state.assignments[a.Shard].Version+1 != a.Version {
+		return rpc.Errorf("version_conflict", "shard %d", a.Shard)
+	}
+	c.state.assignments[a.Shard] = a
+	c.state.revision++
+	return nil
+}
+
+func (c *cluster) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.update()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *cluster) update() {
+	c.mu.Lock()
+	s := c.state
+	s.assignments = append([]fleet.Assignment{}, s.assignments...)
+	var hosts []*Host
+	for _, n := range c.nodes {
+		if !n.paused {
+			hosts = append(hosts, n.host)
+		}
+	}
+	c.mu.Unlock()
+	for _, h := range hosts {
+		h.Update(&s, time.Now().Add(2*time.Second))
+	}
+}
+
+// settled waits until each shard has the given number of in-sync replicas.
+func (c *cluster) settled(inSync int) {
+	require.Eventually(c.t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, a := range c.state.assignments {
+			if len(a.InSync) < inSync {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond)
+}
