--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -128,6 +128,9 @@
 // VM returns the current incarnation that is registered under an id.
 func (s *State) VM(id string) (VM, bool) { return deref(s.current.Load().vms[id]) }
 
+// Replaced reports whether a later incarnation of the VM has registered.
+func (s *State) Replaced(ref VMRef) bool { return slices.Contains(s.current.Load().retired, ref) }
+
 // Assignment returns the assignment of one shard.
 func (s *State) Assignment(shard int) (Assignment, bool) {
 	v := s.current.Load()
--- /dev/null
+++ b/server/control/harness_test.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/fleet"
+)
+
+const testToken = "operator-token"
+
+// fakeLog is a replicated log of one member with switchable faults.
+type fakeLog struct {
+	mu         sync.Mutex
+	machine    *Machine
+	index      uint64
+	follower   string // name of the leader, if it is another VM
+	since      time.Time
+	barrierErr error
+	proposeErr error
+	applyFirst bool // a failing proposal is applied all the same
+	voters     []Voter
+	ahead      atomic.Int64 // nanoseconds that the VM's clock is ahead
+}
+
+func (f *fakeLog) Propose(_ context.Context, data []byte) (any, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.proposeErr != nil && !f.applyFirst {
+		return nil, f.proposeErr
+	}
+	f.index++
+	return f.machine.Apply(f.index, data), f.proposeErr
+}
+
+func (f *fakeLog) ReadBarrier(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.barrierErr
+}
+
+func (f *fakeLog) Leader() (string, string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.follower != "" {
+		return f.follower, "127.0.0.1:9", false
+	}
+	return "c1", "127.0.0.1:9", true
+}
+
+func (f *fakeLog) LeaderSince() time.Time { return f.since }
+func (f *fakeLog) Describe() any          { return f.voters }
+func (f *fakeLog) AddVoter(_ context.Context, v Voter) error {
+	f.voters = append(f.voters, v)
+	return nil
+}
+func (f *fakeLog) RemoveVoter(_ context.Context, _ Voter) error { f.voters = nil; return nil }
+func (f *fakeLog) fail(barrier, propose error, applyFirst bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.barrierErr, f.proposeErr, f.applyFirst = barrier, propose, applyFirst
+}
+
+// newControl returns a leader whose leadership began long ago, with its API.
+func newControl(t testing.TB) (*Control, *fakeLog, *httptest.Server, *strings.Builder) {
+	logText := &strings.Builder{}
+	log := logrus.New()
+	log.SetOutput(io.MultiWriter(logText, io.Discard))
+	f := &fakeLog{machine: NewMachine(), since: time.Now().Add(-time.Hour)}
+	c, err := New(Options{
+		Settings: Settings{Name: "c1", Region: "r1", AdminToken: testToken, Shards: 8, HTTPAddresses: map[string]string{}},
+		Quorum:   f, State: f.machine, Log: logrus.NewEntry(log),
+	})
+	require.NoError(t, err)
+	s := httptest.NewServer(c.HTTPHandler())
+	t.Cleanup(s.Close)
+	c.clock = func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
+	return c, f, s, logText
+}
+
+// answer is an HTTP answer of the operators' API.
+type answer struct {
+	status int
+	etag   string
+	body   string
+	Problem
+}
+
+// request calls the operators' API; headers are alternating names and values.
+func request(t testing.TB, s *httptest.Server, method, path, body string, headers ...string) answer {
+	t.Helper()
+	r, err := http.NewRequest(method, s.URL+"/v1/admin"+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := s.Client().Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	a := answer{status: response.StatusCode, etag: response.Header.Get("ETag"), body: string(data)}
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		require.NoError(t, json.Unmarshal(data, &a.Problem))
+	}
+	return a
+}
+
+func testVM(id, incarnation, centre string) fleet.VM {
+	return fleet.VM{
+		VMRef: fleet.VMRef{ID: id, Incarnation: incarnation}, Role: fleet.RoleEntry, DataCentre: centre, Region: "r1",
+		RPCAddress: "127.0.0.1:1", HTTPAddress: "127.0.0.1:2",
+	}
+}
