--- /dev/null
+++ b/bench/sim/clock.go
@@ -0,0 +1,68 @@
+// Package sim provides the virtual clock of the policy bench.
+package sim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Clock runs events in the order of their virtual time. Events at the same time
+// run in the order in which they were scheduled, so that runs are deterministic.
+type Clock struct {
+	now      time.Duration
+	sequence uint64
+	events   events
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+// Now is the current virtual time.
+func (c *Clock) Now() time.Duration {
+	return c.now
+}
+
+// After schedules run; a negative delay counts as zero.
+func (c *Clock) After(delay time.Duration, run func()) {
+	c.sequence++
+	heap.Push(&c.events, event{at: c.now + max(0, delay), sequence: c.sequence, run: run})
+}
+
+// Run executes events until done reports true, no event is left, or the limit
+// is reached.
+func (c *Clock) Run(limit time.Duration, done func() bool) {
+	for len(c.events) > 0 && !done() {
+		next := heap.Pop(&c.events).(event)
+		if next.at > limit {
+			return
+		}
+		c.now = next.at
+		next.run()
+	}
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].sequence < e[j].sequence
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
