Use the program's record for the place of its prefix

Cause: cache events reach an entry up to 1.5 s after a call ended, and half of the tool pauses are shorter, so that many calls missed their prefix and programs alternated between two targets. The program's record names the target of the last call. The prefix-affinity baseline gets the same hint.

--- a/bench/entry/decider.go
+++ b/bench/entry/decider.go
@@ -51,20 +51,26 @@
 
 // PrefixAffinity keeps a program on the target that holds most of its prefix;
 // programs without a cached prefix go to the target with the fewest requests.
+// It has the same knowledge as the policy.
 type PrefixAffinity struct{}
 
 // Decide implements Decider.
-func (PrefixAffinity) Decide(_ placement.Request, cs []placement.Candidate, seed uint64) placement.Decision {
+func (PrefixAffinity) Decide(r placement.Request, cs []placement.Candidate, seed uint64) placement.Decision {
 	if len(cs) == 0 {
 		return noTarget()
 	}
-	best := &cs[0]
+	var best *placement.Candidate
+	most := int64(0)
 	for i := range cs {
-		if better := !cs[i].Suspect && cs[i].CachedTokens > best.CachedTokens; better || best.Suspect {
-			best = &cs[i]
+		cached := cs[i].CachedTokens
+		if cs[i].ID == r.LastTarget {
+			cached = max(cached, r.CachedHint)
+		}
+		if !cs[i].Suspect && cached > most {
+			best, most = &cs[i], cached
 		}
 	}
-	if best.CachedTokens == 0 {
+	if best == nil {
 		best = leastOutstanding(cs, seed)
 	}
 	return dispatchTo(best)
--- a/bench/entry/entry.go
+++ b/bench/entry/entry.go
@@ -117,6 +117,11 @@
 	return e.candidates
 }
 
+// ID is the id of the target with the given index.
+func (e *Entry) ID(i int) string {
+	return e.targets[i].id
+}
+
 // Target is the index of the target with the given id among the candidates of
 // the last invocation of Candidates.
 func (e *Entry) Target(id string) int {
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -29,6 +29,8 @@
 	entry   int
 	turn    int
 	history int64
+	// last is the id of the target that ran the last call.
+	last string
 	// attained is the service of the program and its ancestors so far.
 	attained int64
 	ended    func(finished bool)
@@ -120,6 +122,8 @@
 		Organisation:       strconv.Itoa(r.program.Organisation),
 		Program:            strconv.Itoa(r.program.ID),
 		PromptTokens:       r.history + turn.Input,
+		LastTarget:         r.last,
+		CachedHint:         r.history,
 		AttainedTokens:     r.attained,
 		OrganisationTokens: tokens,
 		OrganisationShare:  share,
@@ -155,6 +159,7 @@
 func (w *world) answered(a *attempt, o engine.Outcome) {
 	measured, load := w.clock.Now(), w.engines[a.target].Load()
 	if !o.Failed {
+		w.result.Uncached += a.call.Prompt - o.Cached
 		w.result.Recomputed += max(0, a.best-o.Cached)
 	}
 	w.clock.After(w.config.Deployment.TargetDelay, func() {
@@ -168,6 +173,7 @@
 			w.retry(a)
 			return
 		}
+		a.run.last = view.ID(a.target)
 		view.Observe(a.target, measured, load)
 		w.usage.Record(w.clock.Now(), a.run.program.Organisation, a.call.Prompt-o.Cached+a.call.Output)
 		w.clock.After(w.config.Deployment.ClientDelay, func() { w.finishTurn(a.run) })
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -71,6 +71,8 @@
 	Limited int
 	// AdmittedOver counts calls that were admitted above the rate.
 	AdmittedOver int
+	// Uncached counts prefix tokens that targets computed.
+	Uncached int64
 	// Recomputed counts prefix tokens that were computed although some target
 	// held them when the call was placed.
 	Recomputed int64
@@ -95,6 +97,10 @@
 
 // Run executes the programs until all have ended.
 func Run(c Config) Result {
+	return build(c).run()
+}
+
+func build(c Config) *world {
 	w := &world{config: c, clock: &sim.Clock{}, random: rand.New(rand.NewPCG(c.Seed, 3))}
 	w.usage = entry.NewUsage(len(c.Deployment.Shares))
 	w.running = map[*attempt]struct{}{}
@@ -108,6 +114,10 @@
 	for i, p := range c.Programs {
 		w.arrive(i, p)
 	}
+	return w
+}
+
+func (w *world) run() Result {
 	w.clock.Run(timeLimit, func() bool { return w.left == 0 })
 	for _, b := range w.buckets {
 		w.result.AdmittedOver += b.Over
--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -27,7 +27,7 @@
 	var random rand.PCG
 	random.Seed(seed, uint64(len(cs)))
 	var weighed [maxWeighed]int32
-	n := sample(p, cs, &random, &weighed)
+	n := sample(p, r, cs, &random, &weighed)
 	mean := meanOccupancy(cs, weighed[:n])
 	best, bestCost := -1, math.Inf(1)
 	leastQueue := math.Inf(1)
@@ -53,15 +53,15 @@
 		Action:       Dispatch,
 		Target:       c.ID,
 		Priority:     priority(r),
-		Reason:       reason(c),
+		Reason:       reason(r, c),
 		Candidates:   n,
-		CachedTokens: min(c.CachedTokens, r.PromptTokens),
+		CachedTokens: cachedTokens(r, c),
 	}
 }
 
 // sample selects the candidates to weigh: all when they are few; otherwise
 // those that hold the program's prefix and a random selection of the others.
-func sample(p Policy, cs []Candidate, random *rand.PCG, weighed *[maxWeighed]int32) int {
+func sample(p Policy, r Request, cs []Candidate, random *rand.PCG, weighed *[maxWeighed]int32) int {
 	if len(cs) <= min(p.Sample, maxWeighed) {
 		for i := range cs {
 			weighed[i] = int32(i)
@@ -70,14 +70,14 @@
 	}
 	n := 0
 	for i := range cs {
-		if cs[i].CachedTokens > 0 && n < maxCached {
+		if cachedTokens(r, &cs[i]) > 0 && n < maxCached {
 			weighed[n] = int32(i)
 			n++
 		}
 	}
 	for range min(p.Sample, maxWeighed-maxCached) {
 		i := int32(random.Uint64() % uint64(len(cs)))
-		if cs[i].CachedTokens == 0 {
+		if cachedTokens(r, &cs[i]) == 0 {
 			weighed[n] = i
 			n++
 		}
@@ -85,6 +85,16 @@
 	return n
 }
 
+// cachedTokens is how much of the prompt the target holds. The program's record
+// is more recent than cache events, which arrive late or not at all.
+func cachedTokens(r Request, c *Candidate) int64 {
+	cached := c.CachedTokens
+	if r.CachedHint > cached && r.LastTarget == c.ID {
+		cached = r.CachedHint
+	}
+	return min(cached, r.PromptTokens)
+}
+
 // occupancy is the reported load in batches.
 func occupancy(c *Candidate) float64 {
 	return float64(c.Running+c.Waiting) / batch(c)
@@ -121,7 +131,7 @@
 	if speed <= 0 {
 		speed = defaultTokensPerSecond
 	}
-	prefill := float64(max(0, r.PromptTokens-c.CachedTokens))
+	prefill := float64(r.PromptTokens - cachedTokens(r, c))
 	busy := min(1, occupancy) * p.BusyTokens
 	queue := max(0, occupancy-1) * p.QueueTokens
 	return (prefill + busy + queue) / speed
@@ -150,11 +160,11 @@
 	return time.Duration(batches * jitter * float64(p.BatchTime))
 }
 
-func reason(c *Candidate) string {
+func reason(r Request, c *Candidate) string {
 	switch {
 	case c.Suspect:
 		return ReasonSuspect
-	case c.CachedTokens > 0:
+	case cachedTokens(r, c) > 0:
 		return ReasonCached
 	default:
 		return ReasonLoad
--- a/coord/placement/types.go
+++ b/coord/placement/types.go
@@ -19,6 +19,12 @@
 	Program string
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int64
+	// LastTarget is the id of the target that ran the program's last call; empty
+	// if unknown. It comes from the program's record and is known before the
+	// target's cache event arrives.
+	LastTarget string
+	// CachedHint is how much of the prompt LastTarget held after that call.
+	CachedHint int64
 	// AttainedTokens is the service that the program has had so far.
 	AttainedTokens int64
 	// OrganisationTokens is the organisation's decayed token counter.
