--- a/server/dev/demo.go
+++ b/server/dev/demo.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -71,11 +73,14 @@
 	headers := map[string]string{"Idempotency-Key": uuid.NewString(), "Content-Type": "application/json"}
 	var answers [2]string
 	for i := range answers {
-		body, err := r.caller.Service(ctx, "POST", PlainService, "/pickups", []byte(`{"lot":"peaches","crates":40}`), headers)
+		err := retryNotRun(ctx, func() error {
+			body, err := r.caller.Service(ctx, "POST", PlainService, "/pickups", []byte(`{"lot":"peaches","crates":40}`), headers)
+			answers[i] = string(body)
+			return err
+		})
 		if err != nil {
 			return fmt.Errorf("confirm the pickup: %w", err)
 		}
-		answers[i] = string(body)
 	}
 	if answers[0] != answers[1] {
 		return fmt.Errorf("the repeated confirmation got another answer: %q, %q", answers[0], answers[1])
@@ -83,3 +88,20 @@
 	fmt.Fprintf(r.out, "\ntool: pickup confirmed, and the repeated confirmation got the first answer: %.120s\n", answers[0])
 	return nil
 }
+
+// retryNotRun repeats a request as long as the system says that it did not run,
+// as during the first seconds, when the shards have no second copy yet.
+func retryNotRun(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		var problem *client.Problem
+		if !errors.As(err, &problem) || problem.Executed != "no" || problem.Status != http.StatusServiceUnavailable {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(max(problem.RetryAfter, startPoll)):
+		}
+	}
+}
