Check the quarantine beside BeginCall; serve profiles on request

The check cost one round trip before each dispatch. It now runs while the call takes its turn; retries within a call still check before each target.

--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -87,12 +88,24 @@
 		}
 		return nil
 	})
+	if address := p.settings.Log.ProfileAddress; address != "" {
+		p.duties.start("profile_server", func() error { return serveProfiles(address) })
+	}
 	p.log.WithFields(logrus.Fields{
 		"event": "started", "role": p.settings.VM.Role, "data_centre": p.settings.VM.DataCentre,
 		"rpc": p.settings.VM.RPCAddress, "http": p.settings.VM.HTTPAddress,
 	}).Info("process started")
 }
 
+// serveProfiles serves CPU and memory profiles on an address of its own, apart from callers.
+func serveProfiles(address string) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return server.ListenAndServe()
+}
+
 // close ends the listeners and connections once no request needs them.
 func (p *process) close() error {
 	shutdown := p.http.Shutdown(context.Background())
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -96,14 +96,10 @@
 	if _, held := e.Configuration.State(); !held {
 		return newProblem("configuration_stale", executed, "the lease from control lapsed").retry(time.Second)
 	}
-	quarantined, err := e.Programs.Quarantined(ctx, c.organisation(), c.fingerprint)
-	if err != nil {
-		return newProblem("owner_unavailable", executed, "%v", err).retry(time.Second)
+	if c.ticket != nil && state.Number == 0 {
+		return nil // checked while the call took its turn
 	}
-	if quarantined {
-		return newProblem("request_quarantined", executed, "an equal request took %d targets down; fingerprint %016x", retry.MaxCrashes, c.fingerprint)
-	}
-	return nil
+	return e.checkQuarantine(ctx, c, executed)
 }
 
 func executedAfter(state retry.Attempt) Executed {
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -12,6 +12,7 @@
 
 	"hemlockvale.dev/coord/fleet"
 	"hemlockvale.dev/coord/program"
+	"hemlockvale.dev/coord/retry"
 )
 
 // Headers of the callers' protocol.
@@ -142,7 +143,12 @@
 	b.WaitLimit = e.Settings.Entry.QueueTimeout()
 	b.CallTimeout = e.callTimeout(c)
 	b.Runner = e.Self
+	// The check runs beside BeginCall to save a round trip. A retry of a crashing
+	// request is sent after its crash was recorded, so the check cannot miss it.
+	quarantine := make(chan *Problem, 1)
+	go func() { quarantine <- e.checkQuarantine(ctx, c, ExecutedNo) }()
 	result, err := e.Programs.Begin(ctx, b)
+	refused := <-quarantine
 	switch {
 	case err != nil:
 		// Only this VM dispatches, and it does so only with a ticket, so an
@@ -155,7 +161,23 @@
 	}
 	c.ticket = result.Ticket
 	c.log = c.log.WithFields(logrus.Fields{"program": c.ticket.Program.ID, "sequence": c.ticket.Sequence})
-	return nil, nil
+	if refused != nil {
+		// A failed record leaves the call to the owner, which settles it when this VM is gone.
+		_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
+	}
+	return nil, refused
+}
+
+// checkQuarantine refuses a request that has taken targets down.
+func (e *Entry) checkQuarantine(ctx context.Context, c *call, executed Executed) *Problem {
+	quarantined, err := e.Programs.Quarantined(ctx, c.organisation(), c.fingerprint)
+	if err != nil {
+		return newProblem("owner_unavailable", executed, "%v", err).retry(time.Second)
+	}
+	if quarantined {
+		return newProblem("request_quarantined", executed, "an equal request took %d targets down; fingerprint %016x", retry.MaxCrashes, c.fingerprint)
+	}
+	return nil
 }
 
 // settleTimeout bounds the recording of an outcome; it covers the failover of
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -80,6 +80,8 @@
 type Log struct {
 	// Level is the least severe level that is written.
 	Level string `json:"level"`
+	// ProfileAddress serves net/http/pprof, as IP:port; empty serves none.
+	ProfileAddress string `json:"profile_address"`
 }
 
 // AddressLifetime returns AddressLifetimeMS as a duration.
