Test the deployment with separate processes under kills, pauses and planned stops

A kept connection that breaks under a request now counts as a crash: it was taken for an idle close, so a poisonous request took a third engine down (TestCrashingRequest: 1 of 4 engines alive before, 2 after).

--- /dev/null
+++ b/cmd/e2e/faults_test.go
@@ -0,0 +1,293 @@
+// Package e2e proves with separate processes what only processes can show:
+// kills, pauses and planned stops. Everything else is proved on the cores.
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/server/client"
+)
+
+const (
+	// inForceBound is the bound for configuration changes, withdrawn keys and cut-off VMs.
+	inForceBound = 3 * time.Second
+	// takeoverBound is the bound for the takeover of a shard.
+	takeoverBound = 5 * time.Second
+)
+
+// Guards against a second run, a lost commitment and a slow takeover when an
+// owner is killed, is paused past its lease, or two are lost in a row.
+func TestOwnerFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(f *fleetUnderTest)
+	}{
+		{"killed", func(f *fleetUnderTest) {
+			f.processes["entry-2"].kill()
+			f.expectServing(f.entries[0], f.entries[2])
+		}},
+		{"paused past its lease", func(f *fleetUnderTest) {
+			f.processes["entry-2"].signal(syscall.SIGSTOP)
+			time.Sleep(takeoverBound)
+			f.processes["entry-2"].signal(syscall.SIGCONT)
+			f.expectServing(f.entries...)
+		}},
+		{"second one lost after the repair", func(f *fleetUnderTest) {
+			f.processes["entry-2"].kill()
+			f.processes["entry-2"].start(f.t)
+			f.expectServing(f.entries...)
+			f.processes["entry-3"].kill()
+			f.expectServing(f.entries[0], f.entries[1])
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := startFleet(t, 1)
+			ref := f.beginProgram("program-1")
+			load := f.startCommitments(4)
+			time.Sleep(time.Second)
+			c.fault(f)
+			time.Sleep(500 * time.Millisecond)
+			load.finish(f)
+			f.expectHistory(ref)
+		})
+	}
+}
+
+// expectServing waits until the entries serve both kinds of call again; the
+// bound is the takeover of the shards and one poll.
+func (f *fleetUnderTest) expectServing(entries ...string) {
+	f.t.Helper()
+	took := f.eventually(takeoverBound+time.Second, func() error {
+		var errs []error
+		for _, address := range entries {
+			for range 8 {
+				_, err := f.commit(address, uuid.NewString())
+				errs = append(errs, err)
+			}
+			_, err := f.chat(address, f.key, uuid.NewString())
+			errs = append(errs, err)
+		}
+		return errors.Join(errs...)
+	})
+	f.t.Logf("serving again after %v", took)
+}
+
+// beginProgram makes a call whose history must survive.
+func (f *fleetUnderTest) beginProgram(id string) string {
+	chat := client.Chat{Model: model, MaxTokens: 2, Program: id, Messages: []client.Message{{Role: "user", Content: "remember me"}}}
+	_, err := f.caller(f.entries[0], f.key).Chat(context.Background(), chat, nil)
+	require.NoError(f.t, err)
+	return id
+}
+
+func (f *fleetUnderTest) expectHistory(id string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.entries[0]+"/v1/programs/"+id+"/history", nil)
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	history, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	require.Equal(f.t, 1, strings.Count(string(history), "remember me"), "%s", history)
+}
+
+// Guards against a withdrawn key that goes on working, and a change that an
+// entry does not enforce in time, also one that restarted meanwhile.
+func TestConfigurationInForce(t *testing.T) {
+	f := startFleet(t, 1)
+	doomed := f.issueKey("doomed")
+	f.eventually(inForceBound, func() error { _, err := f.chat(f.entries[2], doomed, uuid.NewString()); return err })
+	stream := f.openStream(f.entries[1], doomed, 4000)
+	defer stream.Close()
+	f.processes["entry-1"].kill()
+	require.NoError(t, f.admin.Do(context.Background(), client.Request{Method: http.MethodDelete, Path: "/v1/admin/keys/doomed", Operation: uuid.NewString()}, nil))
+	withdrawn := time.Now()
+	f.processes["entry-1"].start(t)
+	rest, err := io.ReadAll(stream)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), "key_withdrawn")
+	require.Less(t, time.Since(withdrawn), inForceBound)
+	for _, address := range f.entries[1:] {
+		f.eventually(inForceBound-time.Since(withdrawn), func() error { return expectProblem(f.chat(address, doomed, "x"))("unknown_key", "no") })
+	}
+	f.eventually(startTimeout, func() error { return expectProblem(f.chat(f.entries[0], doomed, "x"))("unknown_key", "no") })
+}
+
+func expectProblem(_ client.Answer, err error) func(code, executed string) error {
+	return func(code, executed string) error {
+		var problem *client.Problem
+		if errors.As(err, &problem) && problem.Code == code && problem.Executed == executed {
+			return nil
+		}
+		return fmt.Errorf("want %s, executed %s; got %w", code, executed, orNone(err))
+	}
+}
+
+func orNone(err error) error {
+	if err == nil {
+		return errors.New("an answer")
+	}
+	return err
+}
+
+// Guards against an isolated control VM that holds up or takes back changes,
+// and against entries that serve on without control.
+func TestControlFaults(t *testing.T) {
+	f := startFleet(t, 1)
+	leader := f.controlLeader()
+	f.processes[leader].signal(syscall.SIGSTOP)
+	f.eventually(takeoverBound, func() error { return f.putAlias("first") })
+	f.processes[leader].signal(syscall.SIGCONT)
+	time.Sleep(time.Second)
+	f.expectAlias("first")
+
+	for i := range 3 {
+		f.processes[fmt.Sprintf("control-%d", i+1)].signal(syscall.SIGSTOP)
+	}
+	for _, address := range f.entries {
+		f.eventually(inForceBound, func() error { return expectProblem(f.chat(address, f.key, "x"))("configuration_stale", "no") })
+	}
+	for i := range 3 {
+		f.processes[fmt.Sprintf("control-%d", i+1)].signal(syscall.SIGCONT)
+	}
+	f.expectServing(f.entries...)
+
+	for i := range 3 {
+		f.processes[fmt.Sprintf("control-%d", i+1)].kill()
+	}
+	for i := range 3 {
+		f.processes[fmt.Sprintf("control-%d", i+1)].start(t)
+	}
+	f.eventually(takeoverBound, func() error { return f.putAlias("second") })
+	f.expectAlias("second")
+}
+
+// putAlias changes the profile's model aliases.
+func (f *fleetUnderTest) putAlias(alias string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), inForceBound)
+	defer cancel()
+	var profile fleet.Profile
+	if err := f.admin.Do(ctx, client.Request{Method: http.MethodGet, Path: "/v1/admin/profiles/default"}, &profile); err != nil {
+		return err
+	}
+	profile.ModelAliases = map[string]string{alias: model}
+	return f.admin.Put(ctx, "profiles", "default", profile)
+}
+
+// expectAlias checks that every entry enforces the change within the bound.
+func (f *fleetUnderTest) expectAlias(alias string) {
+	f.t.Helper()
+	chat := client.Chat{Model: alias, MaxTokens: 1, Messages: []client.Message{{Role: "user", Content: "x"}}}
+	for _, address := range f.entries {
+		f.eventually(inForceBound, func() error {
+			_, err := f.caller(address, f.key).Chat(context.Background(), chat, nil)
+			return err
+		})
+	}
+}
+
+func (f *fleetUnderTest) controlLeader() string {
+	var description struct {
+		Leader struct {
+			Name string `json:"name"`
+		} `json:"leader"`
+	}
+	f.eventually(takeoverBound, func() error {
+		return f.admin.Do(context.Background(), client.Request{Method: http.MethodGet, Path: "/v1/admin/quorum"}, &description)
+	})
+	require.Contains(f.t, f.processes, description.Leader.Name)
+	return description.Leader.Name
+}
+
+// Guards against a planned stop that cuts a request short or refuses callers
+// that keep their answer of GET /v1/entries for its lifetime.
+func TestPlannedStop(t *testing.T) {
+	f := startFleet(t, 2)
+	stream := f.openStream(f.entries[1], f.key, 800)
+	defer stream.Close()
+	load := f.startCommitments(2)
+	kept, err := f.caller(f.entries[0], f.key).Entries(context.Background())
+	require.NoError(t, err)
+	answered := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.processes["entry-2"].stop(t) }()
+	for time.Since(answered) < time.Duration(kept.LifetimeMS)*time.Millisecond {
+		for _, entry := range kept.Entries {
+			_, err := f.chat(entry.Address, f.key, uuid.NewString())
+			require.NoError(t, err)
+		}
+	}
+	f.eventually(inForceBound, func() error {
+		list, err := f.caller(f.entries[0], f.key).Entries(context.Background())
+		for _, entry := range list.Entries {
+			if entry.Address == f.entries[1] {
+				return errors.New("the draining VM is still named")
+			}
+		}
+		return err
+	})
+	rest, err := io.ReadAll(stream)
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"), "the stream was cut")
+	require.NoError(t, <-stopped)
+	load.finish(f)
+
+	leader := f.controlLeader()
+	require.NoError(t, f.processes[leader].stop(t))
+	f.eventually(takeoverBound, func() error { return f.putAlias("after the stop") })
+}
+
+// Guards against a leaving target that gets new work or cuts its running requests.
+func TestLeavingTarget(t *testing.T) {
+	f := startFleet(t, 2)
+	first, err := f.chat(f.entries[0], f.key, "who serves?")
+	require.NoError(t, err)
+	require.NotEmpty(t, first.Target)
+	leaving := f.processes["engine-1"]
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaving.stop(t) }()
+	time.Sleep(3 * time.Second)
+	for range 10 {
+		for _, address := range f.entries {
+			answer, err := f.chat(address, f.key, uuid.NewString())
+			require.NoError(t, err)
+			require.NotEqual(t, "engine-1", answer.Target)
+		}
+	}
+	require.NoError(t, <-stopped)
+}
+
+// Guards against a request that takes down every target, while others still run.
+func TestCrashingRequest(t *testing.T) {
+	f := startFleet(t, 4)
+	text := poison + " " + uuid.NewString()
+	for _, address := range f.entries {
+		_, err := f.chat(address, f.key, text)
+		require.Error(t, err)
+	}
+	f.eventually(time.Second, func() error { return expectProblem(f.chat(f.entries[1], f.key, text))("request_quarantined", "no") })
+	alive := 0
+	for i := range 4 {
+		select {
+		case <-f.processes[fmt.Sprintf("engine-%d", i+1)].done:
+		default:
+			alive++
+		}
+	}
+	require.Equal(t, 2, alive, "engines that are still alive")
+	f.expectServing(f.entries...)
+}
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -407,7 +407,7 @@
 	case errors.Is(err, errCallerGone):
 		a.result = retry.Cancelled
 	default:
-		a.result = x.classify(err, true, true)
+		a.result = x.classify(err, true)
 	}
 	return a
 }
@@ -416,7 +416,7 @@
 func (run *chatRun) receiveDirect(x *exchange) attempt {
 	body, err := x.readAll(maxResponseBytes)
 	if err != nil {
-		return attempt{result: x.classify(err, true, true), err: err}
+		return attempt{result: x.classify(err, true), err: err}
 	}
 	if x.response.StatusCode >= http.StatusInternalServerError {
 		return attempt{result: retry.Silent, err: fmt.Errorf("target answered %s", x.response.Status)}
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -265,7 +265,8 @@
 			return a
 		},
 	})
-	finish := program.FinishCall{Outcome: result.settled, Target: result.target}
+	// Plain services hold no engine memory, so no target is recorded to release it from.
+	finish := program.FinishCall{Outcome: result.settled}
 	if result.problem == nil && e.resendWindow(c) > 0 {
 		finish.Response = stored
 	}
@@ -290,7 +291,7 @@
 	}
 	body, err := x.readAll(maxResponseBytes)
 	if err != nil {
-		return nil, nil, attempt{result: x.classify(err, true, true), err: err}
+		return nil, nil, attempt{result: x.classify(err, true), err: err}
 	}
 	stored := &program.StoredResponse{Status: x.response.StatusCode, ContentType: x.response.Header.Get("Content-Type"), Body: body}
 	return stored, responseHeader(x.response.Header), attempt{result: retry.Completed}
--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -23,6 +23,9 @@
 	// middlebox has lost while a plain service, which sends no keep-alive, works.
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
+	// idleConnTimeout is shorter than any server's own, so that a kept connection
+	// that breaks under a request means a crash and not an idle close.
+	idleConnTimeout = 5 * time.Second
 	// cancelTimeout bounds the order to cancel a request on a target.
 	cancelTimeout = 2 * time.Second
 )
@@ -56,7 +59,7 @@
 				DisableCompression:  true,
 				DisableKeepAlives:   disableKeepAlives,
 				MaxIdleConnsPerHost: 256,
-				IdleConnTimeout:     30 * time.Second,
+				IdleConnTimeout:     idleConnTimeout,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
@@ -78,7 +81,6 @@
 	response *http.Response
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
-	reused   bool
 	silence  *time.Timer
 }
 
@@ -88,10 +90,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	x := &exchange{ctx: ctx, cancel: cancel}
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connected = true
-		x.reused = info.Reused
-	}}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), tr.method, tr.url, bytes.NewReader(tr.body))
 	if err != nil {
 		cancel(nil)
@@ -107,7 +106,7 @@
 	}
 	x.response, err = client.Do(req)
 	if err != nil {
-		result := x.classify(err, connected, false)
+		result := x.classify(err, connected)
 		x.close()
 		return nil, result, err
 	}
@@ -144,7 +143,7 @@
 }
 
 // classify names the cause of a failed exchange.
-func (x *exchange) classify(err error, connected, answering bool) retry.Result {
+func (x *exchange) classify(err error, connected bool) retry.Result {
 	cause := context.Cause(x.ctx)
 	var timeout net.Error
 	switch {
@@ -157,9 +156,6 @@
 		return retry.Cancelled
 	case !connected:
 		return retry.NotSent
-	case x.reused && !answering:
-		// The target may have closed an idle connection in the meantime, which is no crash.
-		return retry.Silent
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return retry.Silent
 	}
