--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -1,9 +1,9 @@
 package raft
 
-// campaign starts a pre-vote. Only voters campaign.
+// campaign starts a pre-vote.
 func (n *Node) campaign() {
 	n.resetDeadline()
-	if !n.configuration().IsVoter(n.cfg.ID) {
+	if !n.mayLead() {
 		n.becomeFollower(n.hard.Term, ReplicaID{})
 		return
 	}
@@ -11,6 +11,13 @@
 	n.requestVotes(MessagePreVote, n.hard.Term+1)
 }
 
+// mayLead reports whether the replica is a voter, or is one until its removal is
+// committed. In the latter case its log may be the longest one, without which
+// no other voter can win; it then leads without counting itself.
+func (n *Node) mayLead() bool {
+	return n.configuration().IsVoter(n.cfg.ID) || n.configurationAsOf(n.commit).IsVoter(n.cfg.ID)
+}
+
 func (n *Node) startElection() {
 	n.resetDeadline()
 	n.role = Candidate
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -267,7 +267,7 @@
 		return ""
 	}
 	n.dispatch(m)
-	return "message with term from " + m.From.Name
+	return "message from " + m.From.Name
 }
 
 // adoptsTerm is false for pre-votes, whose term is only proposed.
