--- a/server/wal/wal.go
+++ b/server/wal/wal.go
@@ -73,8 +73,10 @@
 }
 
 // Open opens the data directory dir of the replica name and creates it if needed.
-func Open(dir, name string) (*Log, Contents, error) {
-	l := &Log{dir: dir, sync: (*os.File).Sync}
+func Open(dir, name string) (*Log, Contents, error) { return open(dir, name, (*os.File).Sync) }
+
+func open(dir, name string, sync func(*os.File) error) (*Log, Contents, error) {
+	l := &Log{dir: dir, sync: sync}
 	c, err := l.open(name)
 	if err != nil {
 		_ = l.Close()
