--- a/coord/target/release.go
+++ b/coord/target/release.go
@@ -103,7 +103,8 @@
 }
 
 func (s *step) readNeeded(l *line) bool {
-	if s.now < l.quietUntil {
+	// A plain service has no orders to read back, and the read would be a request like any other.
+	if l.kind == "service" || s.now < l.quietUntil {
 		return false
 	}
 	if !l.fenced() && !l.synced {
