shard: add randomised schedules over several replicas and a fake control

The schedules found three faults, fixed here: a repeated request that waited twice started a call without a receiver (find in waitlist.go); a repeated ticket was taken back although its first copy had been given out (repeated in confirm); the settlement of an ended program added to its history.

The model checks a refusal when the owner answers, not when the caller receives it: delivered a true refusal late, after a retry through another entry had run.

--- a/coord/program/table.go
+++ b/coord/program/table.go
@@ -239,13 +239,14 @@
 	if s.Target != "" && !slices.Contains(p.targets, s.Target) {
 		p.targets = append(slices.Clip(p.targets), t.intern(s.Target))
 	}
+	if p.ended {
+		p.requestRelease(index)
+		return p
+	}
 	p.history = append(p.history, s.HistoryDelta...)
 	if s.Head != 0 {
 		p.head = s.Head
 	}
-	if p.ended {
-		p.requestRelease(index)
-	}
 	return p
 }
 
--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -76,15 +76,20 @@
 	r.ring()
 	now := r.shardTime()
 	for _, w := range r.owner.waiters.expired(now) {
-		r.reply(ReplyBegin{w.id, program.RefuseWait(w.retry)})
+		r.answer(w, program.RefuseWait(w.retry))
 	}
 	r.owner.recent.rotate(now)
 }
 
 func (r *Replica) begin(e BeginRequest) {
 	o := r.owner
-	if o.recent.has(e.Call.Request) && r.table.FindRequest(e.Call.Program, e.Call.Lineage, e.Call.Request) == nil {
-		r.reply(ReplyBegin{e.ID, program.RefuseUnknown(program.CodeCallInProgress, "the request was answered or withdrawn before")})
+	if result, ok := o.recent.get(e.Call.Request); ok && r.table.FindRequest(e.Call.Program, e.Call.Lineage, e.Call.Request) == nil {
+		r.reply(ReplyBegin{e.ID, result})
+		return
+	}
+	if w := o.waiters.find(e.Call.Program, e.Call.Request); w != nil {
+		r.emit(Reply{ID: w.id, Err: ErrNotOwner})
+		w.id = e.ID
 		return
 	}
 	limit := e.Call.WaitLimit
@@ -100,7 +105,7 @@
 // evaluate starts or answers a call; it returns false if the call must wait.
 func (r *Replica) evaluate(w *waiter) bool {
 	if r.gone(w.call.Runner, w.call.Revision) {
-		r.reply(ReplyBegin{w.id, program.Refuse(program.CodeRunnerNotRegistered, "VM %s is not registered", w.call.Runner.ID)})
+		r.answer(w, program.Refuse(program.CodeRunnerNotRegistered, "VM %s is not registered", w.call.Runner.ID))
 		return true
 	}
 	d := r.table.Decide(r.shardTime(), w.call)
@@ -109,43 +114,69 @@
 		w.retry = d.Retry
 		return false
 	case d.Result != nil:
-		r.reply(ReplyBegin{w.id, *d.Result})
+		r.answer(w, *d.Result)
 	case d.Ticket != nil:
-		r.giveTicket(w.id, *d.Ticket, r.log.last(), &program.Begin{Call: w.call})
+		r.giveTicket(w, *d.Ticket, r.log.last(), true)
 	case d.Start.Call.NonIdempotent && !r.sufficient():
-		r.reply(ReplyBegin{w.id, insufficient()})
+		r.answer(w, insufficient())
 	default:
 		r.start(w, d.Start)
 	}
 	return true
 }
 
+// answer answers a call that does not start. The result is remembered for a
+// repetition of the request, which must not start the call after all.
+func (r *Replica) answer(w *waiter, result program.BeginResult) {
+	r.owner.recent.put(w.call.Request, result)
+	r.reply(ReplyBegin{w.id, result})
+}
+
 func (r *Replica) start(w *waiter, b *program.Begin) {
 	index := r.propose(program.Change{Begin: b})
-	r.owner.recent.add(b.Call.Request)
-	r.giveTicket(w.id, *r.table.Ticket(b.ResolvedRef(index)), index, b)
+	r.owner.recent.put(b.Call.Request, answeredBefore())
+	r.giveTicket(w, *r.table.Ticket(b.ResolvedRef(index)), index, false)
 }
 
 // giveTicket answers with a ticket once the record at index is committed.
-func (r *Replica) giveTicket(id uint64, t program.Ticket, index uint64, b *program.Begin) {
+func (r *Replica) giveTicket(w *waiter, t program.Ticket, index uint64, repeated bool) {
 	t.Shard, t.Epoch = r.shard, r.epoch
-	effect := ReplyBegin{id, program.BeginResult{Ticket: &t}}
-	r.owner.pending = append(r.owner.pending, pendingReply{index: index, effect: effect, begin: b})
+	effect := ReplyBegin{w.id, program.BeginResult{Ticket: &t}}
+	r.owner.pending = append(r.owner.pending, pendingReply{index: index, effect: effect, call: &w.call, repeated: repeated})
+}
+
+// answeredBefore is the answer to a late repetition of a request whose call was
+// started or withdrawn; its sender no longer waits for it.
+func answeredBefore() program.BeginResult {
+	return program.RefuseUnknown(program.CodeCallInProgress, "the request was answered or withdrawn before")
 }
 
 func insufficient() program.BeginResult {
 	return program.Refuse(program.CodeInsufficientReplicas, "fewer than two data centres hold the shard in sync")
 }
 
-// takeBack settles a call whose ticket was never given out, because too few
-// replicas are left when its record is committed.
-func (r *Replica) takeBack(p pendingReply) {
+// confirm says whether a ticket may be given out now that its record is
+// committed. Otherwise it answers the call in another way: a non-idempotent call
+// is taken back if too few replicas are left. A repeated ticket may have been
+// given out before, so that it only follows what became of the first.
+func (r *Replica) confirm(p pendingReply) bool {
 	reply := p.effect.(ReplyBegin)
 	ticket := reply.Result.Ticket
-	if prog := r.table.Program(ticket.Program); prog != nil && prog.Running() != nil && prog.Running().Sequence == ticket.Sequence {
+	prog := r.table.Program(ticket.Program)
+	running := prog != nil && prog.Running() != nil && prog.Running().Sequence == ticket.Sequence
+	switch {
+	case running && (p.repeated || !p.call.NonIdempotent || r.sufficient()):
+		return true
+	case running:
+		r.owner.recent.put(p.call.Request, insufficient())
 		r.abort(prog, program.NotRun)
 	}
-	r.reply(ReplyBegin{reply.ID, insufficient()})
+	result, ok := r.owner.recent.get(p.call.Request)
+	if !ok {
+		result = answeredBefore()
+	}
+	r.reply(ReplyBegin{reply.ID, result})
+	return false
 }
 
 // gone says whether a VM is certainly no longer registered. A view that is older
@@ -172,7 +203,7 @@
 	if p := r.table.FindRequest(e.Program, e.Lineage, e.Request); p != nil {
 		r.abort(p, program.NotRun)
 	}
-	o.recent.add(e.Request)
+	o.recent.put(e.Request, answeredBefore())
 	r.reply(Reply{ID: e.ID})
 }
 
@@ -207,7 +238,7 @@
 		}
 		r.propose(program.Change{End: &program.End{Program: p.Ref()}})
 		for _, w := range r.owner.waiters.removeProgram(p.Ref()) {
-			r.reply(ReplyBegin{w.id, program.Refuse(program.CodeProgramEnded, "the program ended while the call waited")})
+			r.answer(w, program.Refuse(program.CodeProgramEnded, "the program ended while the call waited"))
 		}
 	}
 }
--- a/coord/shard/owner.go
+++ b/coord/shard/owner.go
@@ -29,8 +29,10 @@
 type pendingReply struct {
 	index  uint64
 	effect Effect
-	// begin is set for a call that must be taken back if too few replicas hold it.
-	begin *program.Begin
+	// call is set if the effect gives out a ticket, which has to be confirmed.
+	call *program.BeginCall
+	// repeated says that the ticket answers a request that was delivered before.
+	repeated bool
 }
 
 // peer is another replica as the owner sees it.
@@ -159,8 +161,7 @@
 	ready := o.pending[:n:n]
 	o.pending = o.pending[n:]
 	for _, p := range ready {
-		if p.begin != nil && p.begin.Call.NonIdempotent && !r.sufficient() {
-			r.takeBack(p)
+		if p.call != nil && !r.confirm(p) {
 			again = true
 			continue
 		}
--- /dev/null
+++ b/coord/shard/schedule_test.go
@@ -0,0 +1,214 @@
+package shard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/coord/program"
+)
+
+// setting reads a number from the environment.
+func setting(name string, otherwise uint64) uint64 {
+	if v, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return v
+	}
+	return otherwise
+}
+
+// chaos starts calls and faults at random.
+type chaos struct {
+	*world
+	keys  int
+	quiet bool // no more faults
+}
+
+// Guards against acknowledged records that are lost, non-idempotent calls that
+// run twice, calls of one program that overlap, budgets that are exceeded, and
+// histories that are mixed, under crashes, restarts, pauses, partitions, and
+// lost and duplicated messages. SEED and STEPS repeat or lengthen a schedule;
+// SCHEDULES sets their number.
+func TestRandomSchedules(t *testing.T) {
+	steps := int(setting("STEPS", 6000))
+	schedules := setting("SCHEDULES", 24)
+	first := setting("SEED", rand.Uint64()>>16)
+	if os.Getenv("SEED") != "" && os.Getenv("SCHEDULES") == "" {
+		schedules = 1
+	}
+	completed := 0
+	for seed := first; seed < first+schedules; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Logf("repeat with SEED=%d STEPS=%d", seed, steps)
+			completed += runSchedule(t, seed, steps)
+		})
+	}
+	t.Logf("%d schedules from SEED=%d with STEPS=%d, %d acknowledged turns", schedules, first, steps, completed)
+}
+
+func runSchedule(t *testing.T, seed uint64, steps int) int {
+	w := newWorld(t, seed, 5)
+	w.loss, w.double = 0.02, 0.05
+	c := &chaos{world: w}
+	for _, root := range []string{"b0", "b1"} {
+		w.clients.budgets[root] = fleet.Budget{MaxCalls: 60, MaxTokens: 2000}
+	}
+	w.after(time.Second, c.call)
+	w.after(2*time.Second, c.fault)
+	for w.steps < steps {
+		w.step()
+		w.clients.check()
+	}
+	c.heal()
+	c.quiet, w.loss, w.double = true, 0, 0
+	t.Logf("stats: now=%s steps=%d completed=%d notes=%v refusals=%v assign=%+v", w.now, w.steps, w.clients.completed, w.notes, w.clients.refusals, w.control.assignment)
+	w.until(40*time.Second, "three in-sync replicas after the faults", func() bool { return len(w.control.assignment.InSync) == 3 })
+	before := w.clients.completed
+	w.until(20*time.Second, "more turns after the faults", func() bool { return w.clients.completed > before+20 })
+	return w.clients.completed
+}
+
+// pick returns one of the VMs that work, or nil.
+func (c *chaos) pick() *simNode {
+	n := c.nodes[c.rng.IntN(len(c.nodes))]
+	if !c.healthy(n) {
+		return nil
+	}
+	return n
+}
+
+func (c *chaos) healthy(n *simNode) bool {
+	return n.alive && c.now >= n.pausedUntil && c.now < n.lease && !c.cut(n.vm.ID, "control")
+}
+
+func (c *chaos) cut(a, b string) bool {
+	return c.blocked[[2]string{a, b}] || c.blocked[[2]string{b, a}]
+}
+
+// call starts a random call, or sends an earlier one again through any entry.
+func (c *chaos) call() {
+	c.after(time.Duration(c.rng.Int64N(int64(40*time.Millisecond))), c.call)
+	n := c.pick()
+	if n == nil {
+		return
+	}
+	call := program.BeginCall{
+		Program: program.Ref{Organisation: fmt.Sprint("org", c.rng.IntN(2)), ID: fmt.Sprint("p", c.rng.IntN(4))},
+		Key:     fmt.Sprint("k", c.rng.IntN(max(c.keys, 1))), ResendWindow: time.Hour, NonIdempotent: c.rng.IntN(3) > 0,
+		EstimatedTokens: c.rng.Int64N(100), WaitLimit: time.Second,
+	}
+	c.keys++
+	if c.rng.IntN(3) > 0 {
+		call.Key = fmt.Sprint("k", c.keys)
+	}
+	call.Fingerprint = uint64(len(call.Key))
+	switch c.rng.IntN(6) {
+	case 0, 1:
+		call.Program = program.Ref{Organisation: "org", ID: fmt.Sprint("b", c.rng.IntN(2))}
+		call.Budget = c.clients.budgets[call.Program.ID]
+		if i := c.rng.IntN(5); i > 0 {
+			call.Program.ID = fmt.Sprintf("%s/c%d", call.Program.ID, i)
+		}
+	case 2:
+		call.Program, call.Lineage = program.Ref{Organisation: "org", ID: fmt.Sprint("lineage", c.rng.IntN(2))}, true
+		call.Head = c.someHead(call.Program)
+	case 3:
+		call.Program.ID = "ends"
+		if c.rng.IntN(5) == 0 {
+			c.clients.endProgram(n, call.Program)
+		}
+	}
+	op := c.clients.begin(n, call)
+	op.holdFor = time.Duration(c.rng.Int64N(int64(150 * time.Millisecond)))
+	op.until = c.now + time.Duration(1+c.rng.IntN(8))*time.Second
+	op.used = c.rng.Int64N(100)
+	op.outcome = []program.Outcome{program.Completed, program.Completed, program.Completed, program.NotRun, program.Unknown}[c.rng.IntN(5)]
+}
+
+// someHead returns the head of one of the lineage's programs, or 0 for a new program.
+func (c *chaos) someHead(lineage program.Ref) uint64 {
+	var heads []uint64
+	for ref, acked := range c.clients.acked {
+		if program.QueueRef(ref) == lineage && ref != lineage {
+			heads = append(heads, acked[len(acked)-1])
+		}
+	}
+	if len(heads) == 0 || c.rng.IntN(8) == 0 {
+		return 0
+	}
+	slices.Sort(heads)
+	return heads[c.rng.IntN(len(heads))]
+}
+
+// fault causes a random fault, unless it could take the last in-sync replica.
+func (c *chaos) fault() {
+	if c.quiet {
+		return
+	}
+	c.after(time.Duration(c.rng.Int64N(int64(1500*time.Millisecond))), c.fault)
+	n := c.nodes[c.rng.IntN(len(c.nodes))]
+	other := c.nodes[c.rng.IntN(len(c.nodes))]
+	switch kind := c.rng.IntN(8); {
+	case kind < 2:
+		c.heal()
+	case kind == 2 && !n.alive:
+		c.boot(n.vm.ID)
+	case kind < 5 && c.mayLose(n):
+		n.alive = false
+		c.after(time.Duration(c.rng.Int64N(int64(6*time.Second))), func() {
+			if i := slices.Index(c.nodes, n); i >= 0 && !n.alive {
+				c.boot(n.vm.ID)
+			}
+		})
+	case kind == 5 && c.mayLose(n):
+		n.pausedUntil = c.now + time.Duration(c.rng.Int64N(int64(5*time.Second)))
+	case kind == 6 && c.mayLose(n):
+		c.block(n.vm.ID, "control")
+	case kind == 7 && n != other && c.healthy(n) && c.healthy(other):
+		c.block(n.vm.ID, other.vm.ID)
+	}
+}
+
+// block cuts a link in one direction or in both.
+func (c *chaos) block(a, b string) {
+	ways := c.rng.IntN(3)
+	if ways != 0 {
+		c.blocked[[2]string{a, b}] = true
+	}
+	if ways != 1 {
+		c.blocked[[2]string{b, a}] = true
+	}
+}
+
+func (c *chaos) heal() { clear(c.blocked) }
+
+// mayLose says whether the shard survives the loss of n: another in-sync
+// replica works and is not about to be removed by the owner.
+func (c *chaos) mayLose(n *simNode) bool {
+	a := c.control.assignment
+	if !c.healthy(n) {
+		return false
+	}
+	owner := c.node(a.Owner)
+	if owner != nil && owner != n && c.healthy(owner) && owner.r.active() {
+		return true
+	}
+	if owner == nil || owner.r.owner == nil {
+		return !slices.Contains(a.InSync, n.vm.VMRef)
+	}
+	for _, ref := range a.InSync {
+		m := c.node(ref)
+		p := owner.r.owner.peer(ref)
+		if m == nil || m == n || p == nil || !c.healthy(m) || c.cut(m.vm.ID, owner.vm.ID) {
+			continue
+		}
+		if !p.suspect && c.now+owner.clock-p.heardAt < 300*time.Millisecond {
+			return true
+		}
+	}
+	return false
+}
--- a/coord/shard/waitlist.go
+++ b/coord/shard/waitlist.go
@@ -86,31 +86,43 @@
 	return out
 }
 
+// find returns the waiting call of one attempt, or nil.
+func (l *waitList) find(ref program.Ref, request string) *waiter {
+	for _, w := range l.queues[program.QueueRef(ref)] {
+		if request != "" && w.call.Request == request {
+			return w
+		}
+	}
+	return nil
+}
+
 // requestMemoryTime is how long a request is remembered, at least: a message
 // that is delivered later than that belongs to a connection that was closed.
 const requestMemoryTime = 30 * time.Second
 
-// requestMemory remembers the requests that were started or withdrawn, so that
-// a message that is delivered twice does not start a second call.
+// requestMemory remembers the requests that were answered, started or withdrawn,
+// so that a message that is delivered twice does not start a second call.
 type requestMemory struct {
-	current, previous map[string]struct{}
+	current, previous map[string]program.BeginResult
 	rotated           time.Duration
 }
 
-func (m *requestMemory) add(request string) {
+func (m *requestMemory) put(request string, result program.BeginResult) {
 	if request == "" {
 		return
 	}
 	if m.current == nil {
-		m.current = make(map[string]struct{})
+		m.current = make(map[string]program.BeginResult)
 	}
-	m.current[request] = struct{}{}
+	m.current[request] = result
 }
 
-func (m *requestMemory) has(request string) bool {
-	_, current := m.current[request]
-	_, previous := m.previous[request]
-	return current || previous
+func (m *requestMemory) get(request string) (program.BeginResult, bool) {
+	if result, ok := m.current[request]; ok {
+		return result, true
+	}
+	result, ok := m.previous[request]
+	return result, ok
 }
 
 func (m *requestMemory) rotate(now time.Duration) {
--- /dev/null
+++ b/coord/shard/world_test.go
@@ -0,0 +1,350 @@
+package shard
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"hemlockvale.dev/coord/fleet"
+)
+
+// world runs replicas on several VMs with a fake control and a network that
+// delays, loses and duplicates messages, in simulated time.
+type world struct {
+	t       testing.TB
+	rng     *rand.Rand
+	now     time.Duration
+	queue   eventQueue
+	order   uint64
+	steps   int
+	control fakeControl
+	nodes   []*simNode
+	blocked map[[2]string]bool // directed links that lose everything
+	loss    float64
+	double  float64
+	clients clients
+	notes   map[string]int
+}
+
+// simNode is one VM: an entry with a replica of the shard.
+type simNode struct {
+	vm          fleet.VM
+	r           *Replica
+	clock       time.Duration // offset of its monotonic clock
+	alive       bool
+	pausedUntil time.Duration
+	lease       time.Duration // in world time
+	known       fleet.Assignment
+	revision    uint64
+	released    map[string]int
+}
+
+type simEvent struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+const (
+	simLease  = 2 * time.Second
+	simDeath  = 3 * time.Second
+	simPoll   = 500 * time.Millisecond
+	linkDelay = 2 * time.Millisecond
+)
+
+func newWorld(t testing.TB, seed uint64, nodes int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]string]bool{}, notes: map[string]int{}}
+	w.clients = newClients(w)
+	w.control = fakeControl{w: w, polls: map[fleet.VMRef]time.Duration{}}
+	for i := range nodes {
+		w.boot(fmt.Sprintf("vm-%d", i))
+	}
+	a := fleet.Assignment{Epoch: 1, Version: 1, Owner: w.nodes[0].vm.VMRef}
+	a.InSync = []fleet.VMRef{a.Owner}
+	for _, n := range w.nodes[:min(3, nodes)] {
+		a.Replicas = append(a.Replicas, n.vm.VMRef)
+	}
+	w.control.commit(a)
+	w.after(0, w.control.plan)
+	return w
+}
+
+// boot starts a VM, or starts it again as another incarnation.
+func (w *world) boot(id string) *simNode {
+	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.vm.ID == id })
+	if i < 0 {
+		i = len(w.nodes)
+		w.nodes = append(w.nodes, nil)
+	}
+	w.order++
+	n := &simNode{alive: true, clock: time.Duration(w.rng.Int64N(int64(time.Hour))), released: map[string]int{}}
+	n.vm = fleet.VM{VMRef: fleet.VMRef{ID: id, Incarnation: fmt.Sprint(w.order)}, DataCentre: fmt.Sprintf("dc-%d", i%3)}
+	n.r = New(n.vm.VMRef, 0)
+	w.nodes[i] = n
+	w.after(time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), func() { w.poll(n) })
+	w.after(TickInterval, func() { w.tick(n) })
+	return n
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, simEvent{w.now + d, w.order, run})
+}
+
+// step runs the next event.
+func (w *world) step() {
+	e := heap.Pop(&w.queue).(simEvent)
+	w.now = max(w.now, e.at)
+	w.steps++
+	e.run()
+}
+
+// runFor runs the events of a time span and checks the invariants after each.
+func (w *world) runFor(d time.Duration) {
+	for end := w.now + d; w.queue[0].at <= end; {
+		w.step()
+		w.clients.check()
+	}
+}
+
+// until runs until the condition holds, for at most d.
+func (w *world) until(d time.Duration, what string, done func() bool) {
+	w.t.Helper()
+	for end := w.now + d; !done(); {
+		if w.queue[0].at > end {
+			w.t.Fatalf("not reached within %s: %s", d, what)
+		}
+		w.step()
+		w.clients.check()
+	}
+}
+
+func (w *world) node(ref fleet.VMRef) *simNode {
+	for _, n := range w.nodes {
+		if n.vm.VMRef == ref && n.alive {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) dataCentre(id string) string {
+	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.vm.ID == id })
+	return w.nodes[i].vm.DataCentre
+}
+
+// on runs f at a VM now, after its pause, or never if it has failed.
+func (w *world) on(n *simNode, f func()) {
+	switch {
+	case n == nil || !n.alive:
+	case w.now < n.pausedUntil:
+		w.after(n.pausedUntil-w.now, func() { w.on(n, f) })
+	default:
+		f()
+	}
+}
+
+// transmit delivers something over a link, late, twice or never.
+func (w *world) transmit(from, to string, deliver func()) {
+	if from == to {
+		deliver()
+		return
+	}
+	for copies := 1; copies > 0; copies-- {
+		if w.blocked[[2]string{from, to}] || w.rng.Float64() < w.loss {
+			continue
+		}
+		if w.rng.Float64() < w.double {
+			copies++
+		}
+		w.after(linkDelay+time.Duration(w.rng.Int64N(int64(linkDelay))), deliver)
+	}
+}
+
+// handle passes an event to a VM's replica and carries out the effects.
+func (w *world) handle(n *simNode, e Event) {
+	for _, effect := range slices.Clone(n.r.Step(w.now+n.clock, e)) {
+		w.perform(n, effect)
+	}
+}
+
+func (w *world) perform(n *simNode, effect Effect) {
+	switch e := effect.(type) {
+	case SendAppend:
+		w.sendAppend(n, e)
+	case SendCopy:
+		w.sendCopy(n, e)
+	case ReplyAppend, ReplyCopy, ReplyBegin, Reply:
+		w.clients.answer(effect)
+	case Ask:
+		w.transmit(n.vm.ID, "control", func() {
+			ok := w.control.assign(e.Assignment)
+			w.transmit("control", n.vm.ID, func() { w.on(n, func() { w.handle(n, Asked{e.Assignment, ok}) }) })
+		})
+	case ReleaseMemory:
+		n.released[e.Release.Program.ID]++
+		if w.rng.Float64() >= w.loss {
+			w.after(10*time.Millisecond, func() { w.on(n, func() { w.handle(n, ReleaseDone{e.Release}) }) })
+		}
+	case Note:
+		w.notes[e.Name]++
+	}
+}
+
+func (w *world) sendAppend(n *simNode, e SendAppend) {
+	w.transmit(n.vm.ID, e.To.ID, func() {
+		to := w.node(e.To)
+		w.on(to, func() {
+			id := w.clients.expect(func(reply Effect) {
+				answer := reply.(ReplyAppend).Reply
+				w.transmit(e.To.ID, n.vm.ID, func() {
+					w.on(n, func() { w.handle(n, AppendAnswered{e.To, e.Message.Epoch, e.Number, &answer}) })
+				})
+			})
+			w.handle(to, AppendReceived{id, e.Message})
+		})
+	})
+}
+
+func (w *world) sendCopy(n *simNode, e SendCopy) {
+	w.transmit(n.vm.ID, e.To.ID, func() {
+		to := w.node(e.To)
+		w.on(to, func() {
+			id := w.clients.expect(func(reply Effect) {
+				answer := reply.(ReplyCopy).Reply
+				w.transmit(e.To.ID, n.vm.ID, func() {
+					w.on(n, func() { w.handle(n, CopyAnswered{e.To, e.Message.Epoch, e.Number, &answer}) })
+				})
+			})
+			w.handle(to, CopyReceived{id, e.Message})
+		})
+	})
+}
+
+// poll renews the lease and brings the configuration, as the poller of an entry does.
+func (w *world) poll(n *simNode) {
+	w.on(n, func() {
+		sent := w.now
+		w.transmit(n.vm.ID, "control", func() {
+			view, a := w.control.poll(n.vm)
+			w.transmit("control", n.vm.ID, func() {
+				w.on(n, func() {
+					if view.Revision >= n.revision {
+						n.revision, n.known = view.Revision, a
+						w.handle(n, FleetChanged{view})
+						w.handle(n, Assigned{a})
+					}
+					n.lease = max(n.lease, sent+simLease)
+					w.handle(n, LeaseRenewed{n.lease + n.clock})
+				})
+			})
+		})
+		w.after(simPoll, func() { w.poll(n) })
+	})
+}
+
+func (w *world) tick(n *simNode) {
+	w.on(n, func() {
+		w.handle(n, Tick{})
+		w.after(TickInterval, func() { w.tick(n) })
+	})
+}
+
+// fakeControl is control's state with its planner.
+type fakeControl struct {
+	w          *world
+	assignment fleet.Assignment
+	revision   uint64
+	vms        []fleet.VM
+	polls      map[fleet.VMRef]time.Duration
+}
+
+func (c *fakeControl) commit(a fleet.Assignment) {
+	c.assignment = a
+	c.revision++
+}
+
+// assign is control.assign: a compare-and-set on the version.
+func (c *fakeControl) assign(a fleet.Assignment) bool {
+	if a.Version != c.assignment.Version+1 {
+		return false
+	}
+	c.commit(a)
+	return true
+}
+
+func (c *fakeControl) poll(vm fleet.VM) (*View, fleet.Assignment) {
+	if _, ok := c.polls[vm.VMRef]; !ok {
+		c.vms = slices.DeleteFunc(c.vms, func(o fleet.VM) bool {
+			if o.ID == vm.ID {
+				delete(c.polls, o.VMRef)
+			}
+			return o.ID == vm.ID
+		})
+		c.vms = append(c.vms, vm)
+		c.revision++
+	}
+	c.polls[vm.VMRef] = c.w.now
+	view := &View{Revision: c.revision, VMs: map[string]fleet.VM{}}
+	for _, vm := range c.vms {
+		view.VMs[vm.ID] = vm
+	}
+	return view, c.assignment
+}
+
+// plan removes dead VMs, moves the ownership and adds replicas.
+func (c *fakeControl) plan() {
+	for _, vm := range slices.Clone(c.vms) {
+		if c.w.now-c.polls[vm.VMRef] > simDeath {
+			delete(c.polls, vm.VMRef)
+			c.vms = slices.DeleteFunc(c.vms, func(o fleet.VM) bool { return o.VMRef == vm.VMRef })
+			c.revision++
+		}
+	}
+	if a, changed := c.planned(); changed {
+		a.Version++
+		c.commit(a)
+	}
+	c.w.after(200*time.Millisecond, c.plan)
+}
+
+func (c *fakeControl) planned() (a fleet.Assignment, changed bool) {
+	a = c.assignment
+	dead := func(ref fleet.VMRef) bool { return c.polls[ref] == 0 && c.w.now > simDeath }
+	a.InSync = slices.DeleteFunc(slices.Clone(a.InSync), dead)
+	if len(a.InSync) == 0 {
+		return c.assignment, false
+	}
+	a.Replicas = slices.DeleteFunc(slices.Clone(a.Replicas), dead)
+	if !slices.Contains(a.InSync, a.Owner) {
+		a.Owner = a.InSync[c.w.rng.IntN(len(a.InSync))]
+		a.Epoch++
+	}
+	for _, spread := range []bool{true, false} {
+		for _, vm := range c.vms {
+			near := slices.ContainsFunc(a.Replicas, func(ref fleet.VMRef) bool { return c.w.dataCentre(ref.ID) == vm.DataCentre })
+			if len(a.Replicas) < 3 && !slices.Contains(a.Replicas, vm.VMRef) && !(spread && near) {
+				a.Replicas = append(a.Replicas, vm.VMRef)
+			}
+		}
+	}
+	return a, len(a.Replicas) != len(c.assignment.Replicas) || !slices.Equal(a.Replicas, c.assignment.Replicas) ||
+		a.Epoch != c.assignment.Epoch || len(a.InSync) != len(c.assignment.InSync)
+}
