Weigh evictions and the delay that prefill causes to others

Cause: programs stayed on targets that had evicted their prefix, because the record's hint outlived the eviction, and long programs on one target evicted each other at every turn. On a full batch a prefill token also costs more than its own time, since it delays all running calls.

--- a/bench/engine/engine.go
+++ b/bench/engine/engine.go
@@ -185,6 +185,13 @@
 	return e.cache.lookup(program)
 }
 
+// Release drops the history of a program that has ended.
+func (e *Engine) Release(program int) {
+	if e.cache.lookup(program) > 0 {
+		e.cache.drop(program)
+	}
+}
+
 // Load returns the current load.
 func (e *Engine) Load() Load {
 	chunk := e.config.StepTime + time.Duration(e.config.ChunkTokens)*e.config.TokenTime
@@ -192,7 +199,7 @@
 		Running:         len(e.prefilling) + e.decoding.Len(),
 		Waiting:         e.waiting.Len(),
 		MaxBatch:        e.config.MaxBatch,
-		KVUsed:          e.reserved,
+		KVUsed:          e.reserved + e.cache.tokens,
 		KVCapacity:      e.config.KVCapacity,
 		TokensPerSecond: float64(e.config.ChunkTokens) / (chunk.Seconds() * e.slowdown),
 	}
--- a/bench/entry/decider.go
+++ b/bench/entry/decider.go
@@ -63,7 +63,7 @@
 	most := int64(0)
 	for i := range cs {
 		cached := cs[i].CachedTokens
-		if cs[i].ID == r.LastTarget {
+		if cs[i].ID == r.LastTarget && r.SinceLastCall <= cs[i].CacheAge {
 			cached = max(cached, r.CachedHint)
 		}
 		if !cs[i].Suspect && cached > most {
--- a/bench/entry/entry.go
+++ b/bench/entry/entry.go
@@ -31,6 +31,7 @@
 	measured     time.Duration
 	announced    time.Duration
 	suspectUntil time.Duration
+	cacheAt      time.Duration // when the last applied cache events were sent
 	cached       map[int]int64
 	dispatched   []dispatch
 }
@@ -72,8 +73,9 @@
 	t.dispatched = kept
 }
 
-// CacheEvents applies events of one target.
-func (e *Entry) CacheEvents(i int, events []engine.CacheEvent) {
+// CacheEvents applies events that one target sent at the given time.
+func (e *Entry) CacheEvents(i int, sent time.Duration, events []engine.CacheEvent) {
+	e.targets[i].cacheAt = sent
 	for _, event := range events {
 		if event.Tokens == 0 {
 			delete(e.targets[i].cached, event.Program)
@@ -105,7 +107,7 @@
 		c := placement.Candidate{
 			ID: t.id, Running: t.load.Running, Waiting: t.load.Waiting, MaxBatch: t.load.MaxBatch,
 			Outstanding: len(t.dispatched), KVUsed: t.load.KVUsed, KVCapacity: t.load.KVCapacity,
-			CachedTokens: t.cached[program], ReportAge: now - t.measured,
+			CachedTokens: t.cached[program], CacheAge: now - t.cacheAt, ReportAge: now - t.measured,
 			TokensPerSecond: t.load.TokensPerSecond, Suspect: now < t.suspectUntil,
 		}
 		for _, d := range t.dispatched {
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -19,6 +19,8 @@
 	maxTries = 100
 	// maxDispatches is how often an entry dispatches a call whose target fails.
 	maxDispatches = 3
+	// releaseDelay is when the memory of an ended program is released.
+	releaseDelay = 10 * time.Second
 	// minRetry is the least time until a caller repeats a refused call.
 	minRetry = time.Second
 )
@@ -29,6 +31,8 @@
 	entry   int
 	turn    int
 	history int64
+	// lastEnd is when the last call ended.
+	lastEnd time.Duration
 	// last is the id of the target that ran the last call.
 	last string
 	// attained is the service of the program and its ancestors so far.
@@ -51,6 +55,16 @@
 	w.call(&attempt{run: r})
 }
 
+// end reports the program's end; the targets release its memory later.
+func (w *world) end(r *run, finished bool) {
+	w.clock.After(releaseDelay, func() {
+		for _, e := range w.engines {
+			e.Release(r.program.ID)
+		}
+	})
+	r.ended(finished)
+}
+
 func (w *world) pickEntry() int {
 	for {
 		if i := w.random.IntN(len(w.entries)); w.entries[i].Alive {
@@ -87,7 +101,7 @@
 		limit = maxFirstTries
 	}
 	if a.tries >= limit {
-		a.run.ended(false)
+		w.end(a.run, false)
 		return
 	}
 	w.clock.After(max(after, minRetry), func() { w.call(a) })
@@ -124,6 +138,7 @@
 		PromptTokens:       r.history + turn.Input,
 		LastTarget:         r.last,
 		CachedHint:         r.history,
+		SinceLastCall:      w.clock.Now() - r.lastEnd,
 		AttainedTokens:     r.attained,
 		OrganisationTokens: tokens,
 		OrganisationShare:  share,
@@ -173,6 +188,7 @@
 			w.retry(a)
 			return
 		}
+		a.run.lastEnd = w.clock.Now()
 		a.run.last = view.ID(a.target)
 		view.Observe(a.target, measured, load)
 		w.usage.Record(w.clock.Now(), a.run.program.Organisation, a.call.Prompt-o.Cached+a.call.Output)
@@ -215,7 +231,7 @@
 	w.clock.After(pause, func() {
 		r.turn++
 		if r.turn == len(r.program.Turns) {
-			r.ended(true)
+			w.end(r, true)
 			return
 		}
 		w.call(&attempt{run: r})
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -147,15 +147,13 @@
 		return
 	}
 	measured, load, events := w.clock.Now(), e.Load(), e.TakeEvents()
-	if w.cacheOff {
-		events = nil
-	}
+	silent := w.cacheOff
 	lag := minLag + time.Duration(w.random.Int64N(int64(maxLag-minLag)))
 	w.clock.After(lag, func() {
 		for _, view := range w.entries {
 			view.Announce(w.clock.Now(), i, measured, load)
-			if w.random.Float64() >= lossProbability {
-				view.CacheEvents(i, events)
+			if lost := w.random.Float64() < lossProbability; !lost && !silent {
+				view.CacheEvents(i, measured, events)
 			}
 		}
 	})
--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -86,15 +86,25 @@
 }
 
 // cachedTokens is how much of the prompt the target holds. The program's record
-// is more recent than cache events, which arrive late or not at all.
+// counts until the target has published cache events after the program's last
+// call; from then on a prefix that the events do not show has been evicted.
 func cachedTokens(r Request, c *Candidate) int64 {
 	cached := c.CachedTokens
-	if r.CachedHint > cached && r.LastTarget == c.ID {
+	if r.CachedHint > cached && r.SinceLastCall <= c.CacheAge && r.LastTarget == c.ID {
 		cached = r.CachedHint
 	}
 	return min(cached, r.PromptTokens)
 }
 
+// overflow is by how many tokens the target's memory is exceeded when it takes
+// the given number of tokens more.
+func overflow(c *Candidate, tokens float64) float64 {
+	if c.KVCapacity <= 0 {
+		return 0
+	}
+	return max(0, float64(c.KVUsed)+tokens-float64(c.KVCapacity))
+}
+
 // occupancy is the reported load in batches.
 func occupancy(c *Candidate) float64 {
 	return float64(c.Running+c.Waiting) / batch(c)
@@ -131,10 +141,12 @@
 	if speed <= 0 {
 		speed = defaultTokensPerSecond
 	}
-	prefill := float64(r.PromptTokens - cachedTokens(r, c))
+	need := float64(r.PromptTokens - cachedTokens(r, c))
+	prefill := need * (1 + (p.PrefillWeight-1)*min(1, occupancy))
+	evicted := p.EvictWeight * min(float64(r.PromptTokens), overflow(c, need))
 	busy := min(1, occupancy) * p.BusyTokens
 	queue := max(0, occupancy-1) * p.QueueTokens
-	return (prefill + busy + queue) / speed
+	return (prefill + evicted + busy + queue) / speed
 }
 
 // less prefers targets without recent failures, then the lower cost.
--- a/coord/placement/policy.go
+++ b/coord/placement/policy.go
@@ -11,6 +11,12 @@
 	// ReportHalfLife is the age at which a load report counts half. The other
 	// half is the mean load of the weighed candidates.
 	ReportHalfLife time.Duration
+	// EvictWeight is the cost of a token that others lose when the target's
+	// memory overflows, in prefill tokens.
+	EvictWeight float64
+	// PrefillWeight scales the cost of own prefill on a full batch: prefill
+	// delays all calls that run on the target.
+	PrefillWeight float64
 	// QueueTokens is the cost of a full batch of waiting requests, as a number
 	// of prefill tokens.
 	QueueTokens float64
@@ -34,6 +40,8 @@
 	return Policy{
 		Sample:          16,
 		ReportHalfLife:  3 * time.Second,
+		EvictWeight:     4,
+		PrefillWeight:   4,
 		QueueTokens:     20000,
 		BusyTokens:      2000,
 		MaxQueue:        8,
--- a/coord/placement/types.go
+++ b/coord/placement/types.go
@@ -25,6 +25,8 @@
 	LastTarget string
 	// CachedHint is how much of the prompt LastTarget held after that call.
 	CachedHint int64
+	// SinceLastCall is the time since that call ended; zero if unknown.
+	SinceLastCall time.Duration
 	// AttainedTokens is the service that the program has had so far.
 	AttainedTokens int64
 	// OrganisationTokens is the organisation's decayed token counter.
@@ -51,10 +53,15 @@
 	Outstanding int
 	// OutstandingTokens is the work of the dispatched requests, in tokens.
 	OutstandingTokens int64
-	// KVUsed and KVCapacity are the cache's size in tokens.
+	// KVUsed and KVCapacity are the size of the target's memory in tokens. KVUsed
+	// includes cached prefixes of programs that have no call running.
 	KVUsed, KVCapacity int64
 	// CachedTokens is how much of this program's prefix the target holds.
 	CachedTokens int64
+	// CacheAge is the age of the newest cache events that were received from the
+	// target. Once it exceeds Request.SinceLastCall, the program's record is the
+	// better source.
+	CacheAge time.Duration
 	// ReportAge is the age of the load report.
 	ReportAge time.Duration
 	// TokensPerSecond is the reported prefill speed.
