Keep the record of a release until the order owners have confirmed it

Cause: the shard host took the release for done when it had been queued in this VM's memory; with the VM lost right after, the engine held the memory for good.

--- a/cmd/e2e/faults_test.go
+++ b/cmd/e2e/faults_test.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockvale.dev/coord/fleet"
+	"hemlockvale.dev/coord/target"
 	"hemlockvale.dev/server/client"
 )
 
@@ -172,6 +176,8 @@
 	for i := range 3 {
 		f.processes[fmt.Sprintf("control-%d", i+1)].start(t)
 	}
+	f.eventually(takeoverBound, f.healthy)
+	f.expectAlias("first")
 	f.eventually(takeoverBound, func() error { return f.putAlias("second") })
 	f.expectAlias("second")
 }
@@ -291,3 +297,111 @@
 	require.Equal(t, 2, alive, "engines that are still alive")
 	f.expectServing(f.entries...)
 }
+
+// releaseBound is the bound for engine memory of programs that are gone.
+const releaseBound = 10 * time.Second
+
+// Guards against engine memory that stays held for programs that were ended,
+// that are idle for too long, or whose owner was lost before it released them.
+func TestEngineMemoryIsReleased(t *testing.T) {
+	f := startFleet(t, 2)
+	f.setIdleTimeout(4 * time.Second)
+	for i := range 6 {
+		f.beginProgram(fmt.Sprintf("ended-%d", i))
+		f.beginProgram(fmt.Sprintf("idle-%d", i))
+	}
+	require.Error(t, f.expectReleased("ended"))
+	require.Error(t, f.expectReleased("idle"))
+	for i := range 6 {
+		f.endProgram(fmt.Sprintf("ended-%d", i))
+	}
+	f.processes["entry-3"].kill()
+	f.eventually(releaseBound, func() error { return f.expectReleased("ended") })
+	// The idle timeout runs from the last call, and a takeover may lie in between.
+	f.eventually(4*time.Second+takeoverBound+releaseBound, func() error { return f.expectReleased("idle") })
+}
+
+func (f *fleetUnderTest) setIdleTimeout(d time.Duration) {
+	var profile fleet.Profile
+	require.NoError(f.t, f.admin.Do(context.Background(), client.Request{Method: http.MethodGet, Path: "/v1/admin/profiles/default"}, &profile))
+	profile.IdleTimeoutMS = d.Milliseconds()
+	require.NoError(f.t, f.admin.Put(context.Background(), "profiles", "default", profile))
+	time.Sleep(time.Second)
+}
+
+func (f *fleetUnderTest) endProgram(id string) {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+f.entries[0]+"/v1/programs/"+id, nil)
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	require.Equal(f.t, http.StatusNoContent, resp.StatusCode)
+}
+
+// held returns the programs that the engines hold memory for.
+func (f *fleetUnderTest) held() []string {
+	var programs []string
+	for i := range 2 {
+		resp, err := http.Get("http://" + f.processes[fmt.Sprintf("engine-%d", i+1)].http + "/v1/orders")
+		require.NoError(f.t, err)
+		var state target.EngineState
+		require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&state))
+		resp.Body.Close()
+		for _, held := range state.Held {
+			programs = append(programs, held.Program)
+		}
+	}
+	return programs
+}
+
+func (f *fleetUnderTest) expectReleased(prefix string) error {
+	for _, held := range f.held() {
+		if strings.HasPrefix(held, organisation+"/"+prefix) {
+			return fmt.Errorf("%s is still held", held)
+		}
+	}
+	return nil
+}
+
+// Guards against a second burst or a higher rate when the owner of an
+// organisation's bucket is lost and callers use all entries.
+func TestRateAcrossTheFleet(t *testing.T) {
+	const rate, burst, seconds = 20, 30, 8
+	f := startFleet(t, 1)
+	var profile fleet.Profile
+	require.NoError(t, f.admin.Do(context.Background(), client.Request{Method: http.MethodGet, Path: "/v1/admin/profiles/default"}, &profile))
+	profile.Limits = fleet.Limits{RatePerSecond: rate, Burst: burst}
+	require.NoError(t, f.admin.Put(context.Background(), "profiles", "default", profile))
+	time.Sleep(inForceBound)
+	start := time.Now()
+	var admitted, refused atomic.Int64
+	var workers sync.WaitGroup
+	for w := range 9 {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			for time.Since(start) < seconds*time.Second {
+				_, err := f.commit(f.entries[w%3], uuid.NewString())
+				var problem *client.Problem
+				switch {
+				case err == nil:
+					admitted.Add(1)
+				case errors.As(err, &problem) && problem.Code == "rate_limited":
+					refused.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(2 * time.Second)
+	f.processes["entry-1"].kill()
+	time.Sleep(takeoverBound)
+	f.processes["entry-1"].start(t)
+	workers.Wait()
+	elapsed := time.Since(start).Seconds()
+	t.Logf("%d admitted, %d refused in %.1f s", admitted.Load(), refused.Load(), elapsed)
+	require.LessOrEqual(t, float64(admitted.Load()), rate*elapsed+burst)
+	require.Positive(t, refused.Load())
+	require.Positive(t, admitted.Load())
+}
--- a/server/daemon/entry.go
+++ b/server/daemon/entry.go
@@ -57,14 +57,18 @@
 		Updated: func(state *fleet.State, until time.Time) { r.host.Update(state, until) },
 	})
 	r.host = shardhost.New(shardhost.Options{
-		Self:      r.self,
-		Pool:      p.pool,
-		State:     func() shardhost.FleetView { return r.follower.Fleet() },
-		ShardOf:   fleet.ShardOf,
-		Metrics:   p.registry,
-		Control:   &controlCaller{pool: p.pool, addresses: control},
-		Log:       p.log,
-		OnRelease: func(ref program.Ref, ids []string) { r.targets.Release(ref, ids) },
+		Self:    r.self,
+		Pool:    p.pool,
+		State:   func() shardhost.FleetView { return r.follower.Fleet() },
+		ShardOf: fleet.ShardOf,
+		Metrics: p.registry,
+		Control: &controlCaller{pool: p.pool, addresses: control},
+		Log:     p.log,
+		// The shard keeps its record of a release until the targets' order owners have
+		// confirmed it, so that the release survives the loss of this VM.
+		Release: func(_ context.Context, ref program.Ref, ids []string) error {
+			return r.targets.EnsureReleased(ref, ids)
+		},
 	})
 	r.limits = limits.New(limits.Options{
 		Self: r.self, Pool: p.pool, State: r.follower.Fleet, Owns: r.host.Owns, Log: p.log,
--- a/server/shardhost/duties.go
+++ b/server/shardhost/duties.go
@@ -126,7 +126,7 @@
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		if err := h.o.Release(ctx, t.release.Program, t.release.Targets); err != nil {
-			log.WithError(err).Warn("release of engine memory failed, will be repeated")
+			log.WithError(err).Debug("engine memory not released yet, will be repeated")
 			return false
 		}
 	case h.o.OnRelease != nil:
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -92,6 +92,8 @@
 	waiters map[string]chan error
 	// releases are those that Release was called for, until their owner confirms them.
 	releases map[releaseKey]*pendingRelease
+	// requested holds the programs whose release EnsureReleased has started.
+	requested map[string]bool
 	// effects are carried out by the goroutines of Run.
 	effects chan effect
 }
@@ -106,7 +108,7 @@
 	t := &Targets{
 		options: o, log: o.Log, started: time.Now(), client: newOrderClient(), metrics: newCounters(o.Metrics),
 		registry: target.NewRegistry(), book: target.NewBook(), outbox: newOutbox(),
-		waiters: make(map[string]chan error), releases: make(map[releaseKey]*pendingRelease),
+		waiters: make(map[string]chan error), releases: make(map[releaseKey]*pendingRelease), requested: make(map[string]bool),
 		effects: make(chan effect, effectQueue),
 	}
 	return t
