shard: confirm refusals and histories with a barrier record

Control can move a shard while the former owner's lease is valid. That owner commits nothing any more, but it could still answer from its old state: a refusal 'not run' for a request that had run at the new owner, or a history without the latest turn. The schedules now move shards between working owners.

--- a/coord/program/change.go
+++ b/coord/program/change.go
@@ -16,8 +16,9 @@
 	Drop *Drop `json:"drop,omitempty"`
 	// Crash records a crash suspect.
 	Crash *Crash `json:"crash,omitempty"`
-	// Takeover marks the first record of an epoch and changes nothing.
-	Takeover bool `json:"takeover,omitempty"`
+	// Barrier changes nothing. Once it is committed, everything before it is, and
+	// its owner was still the owner when it wrote it.
+	Barrier bool `json:"barrier,omitempty"`
 }
 
 // Begin starts a call. Its sequence number is the index of its record.
--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -29,7 +29,7 @@
 	case EndRequest:
 		r.endRequested(e)
 	case HistoryRequest:
-		r.reply(Reply{ID: e.ID, History: r.table.History(e.Program)})
+		r.confirmedReply(Reply{ID: e.ID, History: r.table.History(e.Program)})
 	case CrashRequest:
 		r.propose(program.Change{Crash: &e.Crash})
 		r.reply(Reply{ID: e.ID})
@@ -133,6 +133,10 @@
 // repetition of the request, which must not start the call after all.
 func (r *Replica) answer(w *waiter, result program.BeginResult) {
 	r.owner.recent.put(w.call.Request, result)
+	if result.Refusal != nil {
+		r.confirmedReply(ReplyBegin{w.id, result})
+		return
+	}
 	r.reply(ReplyBegin{w.id, result})
 }
 
@@ -217,11 +221,13 @@
 		return
 	}
 	s, err := r.table.DecideFinish(e.Finish)
-	if s != nil {
-		r.propose(program.Change{Settle: s})
-		r.wake(s.Program)
+	if s == nil {
+		r.confirmedReply(Reply{ID: e.ID, Err: err})
+		return
 	}
-	r.reply(Reply{ID: e.ID, Err: err})
+	r.propose(program.Change{Settle: s})
+	r.reply(Reply{ID: e.ID})
+	r.wake(s.Program)
 }
 
 func (r *Replica) endRequested(e EndRequest) {
--- a/coord/shard/clients_test.go
+++ b/coord/shard/clients_test.go
@@ -284,6 +284,20 @@
 	})
 }
 
+// read reads a program's history through an entry: it must contain what was
+// acknowledged before.
+func (c *clients) read(n *simNode, ref program.Ref) {
+	acked := slices.Clone(c.acked[ref])
+	c.ask(n, nil, func(id uint64) Event { return HistoryRequest{id, ref} }, func(e Effect) {
+		r, ok := e.(Reply)
+		for _, sequence := range acked {
+			if ok && r.Err == nil && !c.mayEnd[ref] && !strings.Contains(string(r.History), fmt.Sprintf(":%d;", sequence)) {
+				c.w.t.Fatalf("%v: read history without acknowledged turn %d", ref, sequence)
+			}
+		}
+	})
+}
+
 var turn = regexp.MustCompile(`([^:;]+):(\d+);`)
 
 // check checks the invariants after a step, at each replica that acts as the owner.
--- a/coord/shard/owner.go
+++ b/coord/shard/owner.go
@@ -134,6 +134,13 @@
 	r.owner.pending = append(r.owner.pending, pendingReply{index: r.log.last(), effect: e})
 }
 
+// confirmedReply emits an answer that is read from the state, once a record
+// that was written after the reading is committed.
+func (r *Replica) confirmedReply(e Effect) {
+	r.propose(program.Change{Barrier: true})
+	r.reply(e)
+}
+
 // advance moves the commit index, emits the answers that it allows and sends
 // what the replicas lack. An owner without a lease does nothing.
 func (r *Replica) advance() {
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -272,13 +272,16 @@
 	a := r.assignment
 	a.Version++
 	a.InSync = []fleet.VMRef{r.self}
+	heir, leaving := r.heir()
 	for _, p := range r.owner.peers {
-		joined := p.required && p.acked >= max(p.joinedAt, p.copyEnd) && r.commit >= max(p.joinedAt, p.copyEnd)
-		if p.inSync && !p.suspect || joined {
+		held := max(p.joinedAt, p.copyEnd)
+		joined := p.required && p.acked >= held && r.commit >= held
+		// Control refuses a replica that joins while the owner changes.
+		if p.inSync && !p.suspect || joined && !leaving {
 			a.InSync = append(a.InSync, p.ref)
 		}
 	}
-	if heir, ok := r.heir(); ok {
+	if leaving {
 		a.Owner = heir
 		a.Epoch++
 	}
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -15,6 +15,11 @@
 // them, the former owner keeps its state until a full copy has arrived, because
 // control may still have to fall back on it.
 //
+// Control can move a shard while its owner's lease is valid. The former owner
+// cannot commit anything then, because the new owner refuses its epoch; but its
+// state is out of date. An answer that could be wrong for that reason (a refusal,
+// a history) therefore waits for a barrier record like any other change.
+//
 // Shard time advances with the owner's monotonic clock. Each message carries it,
 // so that it neither stops nor goes back when the ownership changes.
 package shard
@@ -195,7 +200,7 @@
 	r.owner = newOwner()
 	r.adoptAssignment()
 	r.note(Note{Name: "shard_takeover", Sequence: r.log.last()})
-	r.propose(program.Change{Takeover: true})
+	r.propose(program.Change{Barrier: true})
 	r.table.Programs(r.trackTakenOver)
 	r.repeatReleases()
 	r.settleLost()
--- a/coord/shard/schedule_test.go
+++ b/coord/shard/schedule_test.go
@@ -122,6 +122,9 @@
 			c.clients.endProgram(n, call.Program)
 		}
 	}
+	if !call.Lineage && c.rng.IntN(8) == 0 {
+		c.clients.read(n, call.Program)
+	}
 	op := c.clients.begin(n, call)
 	op.holdFor = time.Duration(c.rng.Int64N(int64(150 * time.Millisecond)))
 	op.until = c.now + time.Duration(1+c.rng.IntN(8))*time.Second
@@ -152,7 +155,7 @@
 	c.after(time.Duration(c.rng.Int64N(int64(1500*time.Millisecond))), c.fault)
 	n := c.nodes[c.rng.IntN(len(c.nodes))]
 	other := c.nodes[c.rng.IntN(len(c.nodes))]
-	switch kind := c.rng.IntN(9); {
+	switch kind := c.rng.IntN(10); {
 	case kind < 2:
 		c.heal()
 	case kind == 2 && !n.alive:
@@ -170,6 +173,8 @@
 		c.block(n.vm.ID, "control")
 	case kind == 7 && n != other && c.healthy(n) && c.healthy(other):
 		c.block(n.vm.ID, other.vm.ID)
+	case kind == 9:
+		c.control.move()
 	case kind == 8 && c.healthy(n):
 		c.handle(n, HandoverRequest{})
 		c.after(2*time.Second, func() { c.on(n, func() { c.handle(n, HandoverRequest{Cancel: true}) }) })
--- a/coord/shard/world_test.go
+++ b/coord/shard/world_test.go
@@ -284,11 +284,18 @@
 	c.revision++
 }
 
-// assign is control.assign: a compare-and-set on the version.
+// assign is control.assign: a compare-and-set on the version, with the rules of coord/fleet.
 func (c *fakeControl) assign(a fleet.Assignment) bool {
-	if a.Version != c.assignment.Version+1 {
+	old := &c.assignment
+	if a.Version != old.Version+1 || !slices.Contains(old.InSync, a.Owner) || !slices.Contains(a.InSync, a.Owner) ||
+		!slices.Equal(a.Replicas, old.Replicas) || (a.Owner != old.Owner) != (a.Epoch == old.Epoch+1) {
 		return false
 	}
+	for _, ref := range a.InSync {
+		if !slices.Contains(old.Replicas, ref) || !slices.Contains(old.InSync, ref) && a.Owner != old.Owner {
+			return false
+		}
+	}
 	c.commit(a)
 	return true
 }
@@ -328,6 +335,18 @@
 	c.w.after(200*time.Millisecond, c.plan)
 }
 
+// move moves the ownership although the owner works, as the planner does to balance.
+func (c *fakeControl) move() {
+	a := c.assignment
+	a.Owner = a.InSync[c.w.rng.IntN(len(a.InSync))]
+	if _, live := c.polls[a.Owner]; !live || a.Owner == c.assignment.Owner {
+		return
+	}
+	a.Epoch++
+	a.Version++
+	c.commit(a)
+}
+
 func (c *fakeControl) planned() (a fleet.Assignment, changed bool) {
 	a = c.assignment
 	dead := func(ref fleet.VMRef) bool { return c.polls[ref] == 0 && c.w.now > simDeath }
