shard: index lineages by head, and test the joining of replicas and log conflicts

A first call of a lineage no longer looks at every program of the lineage, and a copied replica joins at once rather than with the next heartbeat.

TestFaults, 'owner does not learn that a replica has joined': fails without '|| r.owner.asks.names(p.ref)' in committed (owner.go): the call gets its ticket although the replica that control has added lacks its record.

--- a/coord/program/decide.go
+++ b/coord/program/decide.go
@@ -21,19 +21,22 @@
 	Retry bool
 }
 
-// Decide returns what a call may do now, without changing the table.
-func (t *Table) Decide(now time.Duration, c BeginCall) Decision {
+// Decide returns what a call may do now, without changing the table. repeated
+// says that a request with the same identity may have been started before.
+func (t *Table) Decide(now time.Duration, c BeginCall, repeated bool) Decision {
 	c.EstimatedTokens = max(c.EstimatedTokens, 0)
 	if c.Key != "" && c.ResendWindow <= 0 {
 		c.ResendWindow = DefaultResendWindow
 	}
-	candidates := t.candidates(c.Program, c.Lineage)
-	for _, p := range candidates {
-		if d, done := p.repeat(now, &c); done {
-			return d
+	// A lineage can have many programs; most calls cannot match a record in them.
+	if repeated || c.recorded() {
+		for _, p := range t.candidates(c.Program, c.Lineage) {
+			if d, done := p.repeat(now, &c); done {
+				return d
+			}
 		}
 	}
-	p := t.selectProgram(&c, candidates)
+	p := t.selectProgram(&c)
 	if p != nil && p.running != nil {
 		return Decision{Wait: true}
 	}
@@ -88,16 +91,18 @@
 
 func answer(r BeginResult) Decision { return Decision{Result: &r} }
 
+// recorded says whether the call has an at-most-once record.
+func (c *BeginCall) recorded() bool {
+	return c.Key != "" || c.NonIdempotent && c.ResendWindow > 0
+}
+
 // selectProgram returns the program to which the call belongs, or nil for a
 // new one, and resolves a lineage that selects an existing program.
-func (t *Table) selectProgram(c *BeginCall, candidates []*Program) *Program {
+func (t *Table) selectProgram(c *BeginCall) *Program {
 	if !c.Lineage {
 		return t.programs[c.Program]
 	}
-	for _, p := range candidates {
-		if p.ended || p.head != c.Head {
-			continue
-		}
+	for _, p := range t.heads[headKey{c.Program, c.Head}] {
 		if c.Head != 0 || p.unused() {
 			c.Program, c.Lineage = p.ref, false
 			return p
--- a/coord/program/table.go
+++ b/coord/program/table.go
@@ -12,16 +12,24 @@
 // which apply the same records hold the same state.
 type Table struct {
 	programs map[Ref]*Program
-	families map[Ref][]*Program // programs below a root program or lineage, in order of creation
+	families map[Ref][]*Program     // programs below a root program or lineage, in order of creation
+	heads    map[headKey][]*Program // programs of lineages that have not ended, by head
 	suspects map[suspectKey]*suspect
 	names    map[string]string // interned organisations and target names
 }
 
+// headKey selects a program of a lineage.
+type headKey struct {
+	lineage Ref
+	head    uint64
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		programs: make(map[Ref]*Program),
 		families: make(map[Ref][]*Program),
+		heads:    make(map[headKey][]*Program),
 		suspects: make(map[suspectKey]*suspect),
 		names:    make(map[string]string),
 	}
@@ -85,10 +93,33 @@
 	if root, below := rootOf(p.ref); below {
 		t.families[root] = append(t.families[root], p)
 	}
+	t.index(p)
+}
+
+// index makes the program selectable by its head, if it belongs to a lineage.
+func (t *Table) index(p *Program) {
+	if lineage := QueueRef(p.ref); lineage != p.ref && !p.ended {
+		k := headKey{lineage, p.head}
+		t.heads[k] = append(t.heads[k], p)
+	}
+}
+
+// unindex is the inverse of index; it precedes a change of the head or of the end.
+func (t *Table) unindex(p *Program) {
+	lineage := QueueRef(p.ref)
+	if lineage == p.ref || p.ended {
+		return
+	}
+	k := headKey{lineage, p.head}
+	t.heads[k] = slices.DeleteFunc(t.heads[k], func(o *Program) bool { return o == p })
+	if len(t.heads[k]) == 0 {
+		delete(t.heads, k)
+	}
 }
 
 func (t *Table) remove(p *Program) {
 	delete(t.programs, p.ref)
+	t.unindex(p)
 	root, below := rootOf(p.ref)
 	if !below {
 		return
@@ -186,6 +217,7 @@
 	}
 	if b.Renew {
 		p.renew(index)
+		t.index(p)
 	}
 	p.pruneRecords(at)
 	p.charge(at, b.Reserved)
@@ -197,7 +229,7 @@
 	if b.Bounded {
 		p.running.TokenLimit = b.Reserved
 	}
-	if b.Call.Key != "" || b.Call.NonIdempotent && b.Call.ResendWindow > 0 {
+	if b.Call.recorded() {
 		p.records = append(p.records, &callRecord{
 			Key: b.Call.Key, Fingerprint: b.Call.Fingerprint, Generation: p.generation, Sequence: index, NonIdempotent: b.Call.NonIdempotent,
 		})
@@ -253,7 +285,9 @@
 	}
 	p.history = append(p.history, s.HistoryDelta...)
 	if s.Head != 0 {
+		t.unindex(p)
 		p.head = s.Head
+		t.index(p)
 	}
 	return p
 }
@@ -292,6 +326,7 @@
 		return p
 	}
 	p.applied = index
+	t.unindex(p)
 	p.ended, p.endedAt = true, at
 	p.history, p.head = nil, 0
 	if p.running == nil {
--- a/coord/program/table_test.go
+++ b/coord/program/table_test.go
@@ -32,7 +32,7 @@
 // begin decides and starts a call; the result is a ticket, a replay or a
 // refusal, or nil for a call that must wait.
 func (m *machine) begin(c BeginCall) *BeginResult {
-	d := m.table.Decide(m.now, c)
+	d := m.table.Decide(m.now, c, true)
 	switch {
 	case d.Wait:
 		return nil
@@ -111,7 +111,7 @@
 		},
 		"a retry waits for the first call": func(t *testing.T, m *machine) {
 			m.ticket(keyed("p", "a"))
-			require.True(t, m.table.Decide(m.now, keyed("p", "a")).Retry)
+			require.True(t, m.table.Decide(m.now, keyed("p", "a"), false).Retry)
 		},
 		"an unknown outcome is never run again": func(_ *testing.T, m *machine) {
 			m.finish(m.ticket(keyed("p", "a")), Unknown, 0)
@@ -310,7 +310,7 @@
 	ref := Ref{"org", rapid.SampledFrom([]string{"p", "p/a", "q"}).Draw(rt, "program")}
 	p := m.table.Program(ref)
 	if p == nil || p.Running() == nil && rapid.IntRange(0, 2).Draw(rt, "kind") > 0 {
-		if d := m.table.Decide(m.now, BeginCall{Program: ref, Key: fmt.Sprint(m.index), EstimatedTokens: 5}); d.Start != nil {
+		if d := m.table.Decide(m.now, BeginCall{Program: ref, Key: fmt.Sprint(m.index), EstimatedTokens: 5}, false); d.Start != nil {
 			return Change{Begin: d.Start}
 		}
 		return Change{Crash: &Crash{Organisation: "org", Fingerprint: 1, Target: ref.ID}}
--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -112,7 +112,8 @@
 		r.answer(w, program.Refuse(program.CodeRunnerNotRegistered, "VM %s is not registered", w.call.Runner.ID))
 		return true
 	}
-	d := r.table.Decide(r.shardTime(), w.call)
+	_, repeated := r.owner.recent.get(w.call.Request)
+	d := r.table.Decide(r.shardTime(), w.call, repeated)
 	switch {
 	case d.Wait:
 		w.retry = d.Retry
--- a/coord/shard/fault_test.go
+++ b/coord/shard/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -181,6 +182,17 @@
 				w.requireReplay(w.nodes[4], callTo(fmt.Sprint("p", i), "k"))
 			}
 		}},
+		{"owner does not learn that a replica has joined: nothing is acknowledged without it", 4, func(t *testing.T, w *world) {
+			old := w.owner()
+			w.follower(0).alive = false
+			w.until(failoverBound, "a new replica", func() bool { return slices.Contains(old.known.Replicas, w.nodes[3].vm.VMRef) })
+			w.blocked[[2]string{"control", old.vm.ID}] = true
+			w.until(failoverBound, "joining", func() bool { return len(w.control.assignment.InSync) == 3 })
+			w.cutBoth(old.vm.ID, w.follower(1).vm.ID)
+			op := w.clients.begin(old, callTo("p", "k"))
+			w.until(simLease, "the end of the lease", func() bool { return w.now >= old.lease })
+			require.Equal(t, "begin", op.state)
+		}},
 		{"lost and duplicated messages", 4, func(t *testing.T, w *world) {
 			w.loss, w.double = 0.15, 0.3
 			for i := range 20 {
@@ -284,3 +296,60 @@
 		}
 	}
 }
+
+// Guards against a replica that keeps records which a later owner replaced, that
+// takes an old copy for a new one, or that answers from a state that it would
+// have to undo.
+func TestReplicaLog(t *testing.T) {
+	self, owner := fleet.VMRef{ID: "a", Incarnation: "1"}, fleet.VMRef{ID: "b", Incarnation: "1"}
+	a := fleet.Assignment{Epoch: 1, Version: 1, Owner: owner, InSync: []fleet.VMRef{owner, self}, Replicas: []fleet.VMRef{owner, self}}
+	header := func(epoch uint64) Header { return Header{From: owner, To: self, Epoch: epoch, Version: 1} }
+	begin := func(index, epoch uint64) []Record {
+		call := program.BeginCall{Program: program.Ref{Organisation: "org", ID: fmt.Sprintf("%d/%d", index, epoch)}}
+		return []Record{{Index: index, Epoch: epoch, Change: program.Change{Begin: &program.Begin{Call: call}}}}
+	}
+	r := New(self, 0)
+	var status Status
+	step := func(e Event) {
+		for _, effect := range r.Step(time.Second, e) {
+			switch e := effect.(type) {
+			case ReplyAppend:
+				status = e.Reply.Status
+			case ReplyCopy:
+				status = e.Reply.Status
+			}
+		}
+	}
+	send := func(want Status, m Append) {
+		t.Helper()
+		step(AppendReceived{Message: m})
+		require.Equal(t, want, status)
+	}
+	holds := func(index, epoch uint64) bool {
+		return r.Table().Program(program.Ref{Organisation: "org", ID: fmt.Sprintf("%d/%d", index, epoch)}) != nil
+	}
+	step(Assigned{a})
+	first := CopyReceived{Message: Copy{Header: header(1), ID: 1, Start: 10, StartEpoch: 1, Final: true, End: 10}}
+	step(first)
+	require.Equal(t, OK, status)
+	send(OK, Append{Header: header(1), Previous: 10, PreviousEpoch: 1, Records: begin(11, 1)})
+	send(OK, Append{Header: header(1), Previous: 11, PreviousEpoch: 1, Records: begin(12, 1), Commit: 11})
+	step(first) // delivered again
+	require.True(t, holds(11, 1), "the state after the copy is kept")
+
+	send(Gap, Append{Header: header(2), Previous: 12, PreviousEpoch: 2})
+	send(OK, Append{Header: header(2), Previous: 11, PreviousEpoch: 1, Records: begin(12, 2), Commit: 12})
+	require.True(t, holds(12, 2))
+	require.False(t, holds(12, 1), "the record of the earlier owner is replaced")
+	send(Stale, Append{Header: header(1), Previous: 11, PreviousEpoch: 1, Records: begin(12, 1), Commit: 12})
+
+	a.Epoch, a.Version, a.Owner = 3, 2, self
+	step(Assigned{a})
+	step(LeaseRenewed{time.Minute})
+	require.True(t, r.active())
+	step(BeginRequest{1, begin(14, 3)[0].Change.Begin.Call})
+	require.True(t, holds(14, 3))
+	send(NeedCopy, Append{Header: header(4), Previous: 13, PreviousEpoch: 4})
+	send(NeedCopy, Append{Header: header(4), Previous: 12, PreviousEpoch: 2, Records: begin(13, 4)})
+	require.True(t, holds(14, 3), "the former owner's state stays until a copy arrives")
+}
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -186,8 +186,8 @@
 		// The answer to an earlier delivery of a part.
 	case e.Reply.Status == OK && c.message.Final:
 		p.copy, p.next = nil, c.start+1
-		p.lagging, p.lagSince = true, r.now
 		r.note(Note{Name: "replica_copied", Peer: p.ref, Sequence: p.copyEnd})
+		r.acknowledged(p, c.start)
 	case e.Reply.Status == OK:
 		c.refs, c.message = c.refs[c.covered:], nil
 		c.part++
