--- a/coord/program/change.go
+++ b/coord/program/change.go
@@ -16,8 +16,9 @@
 	Drop *Drop `json:"drop,omitempty"`
 	// Crash records a crash suspect.
 	Crash *Crash `json:"crash,omitempty"`
-	// Takeover marks the first record of an epoch and changes nothing.
-	Takeover bool `json:"takeover,omitempty"`
+	// Barrier changes nothing. Once it is committed, everything before it is, and
+	// its owner was still the owner when it wrote it.
+	Barrier bool `json:"barrier,omitempty"`
 }
 
 // Begin starts a call. Its sequence number is the index of its record.
@@ -111,6 +112,8 @@
 	SettleGrace = 2 * time.Second
 	// QuarantineTime is how long a request that crashed two targets is refused.
 	QuarantineTime = 10 * time.Minute
+	// compactAfter is how long a program is idle before its memory is compacted.
+	compactAfter = time.Minute
 	// quarantineTargets is the number of different targets whose crash quarantines a request.
 	quarantineTargets = 2
 )
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -165,7 +165,7 @@
 func (r *Replica) nextPart(p *peer) {
 	c := p.copy
 	m := &Copy{Header: r.header(p.ref), ID: c.id, Part: c.part, Start: c.start, StartEpoch: c.startEpoch}
-	m.Images, c.covered = r.table.Export(c.refs, copyPartBytes)
+	m.Images, c.covered = r.table.Export(c.refs, r.partBytes)
 	if m.Final = c.covered == len(c.refs); m.Final {
 		m.End, m.Suspects = r.log.last(), r.table.ExportSuspects()
 		p.copyEnd = m.End
@@ -186,8 +186,8 @@
 		// The answer to an earlier delivery of a part.
 	case e.Reply.Status == OK && c.message.Final:
 		p.copy, p.next = nil, c.start+1
-		p.lagging, p.lagSince = true, r.now
 		r.note(Note{Name: "replica_copied", Peer: p.ref, Sequence: p.copyEnd})
+		r.acknowledged(p, c.start)
 	case e.Reply.Status == OK:
 		c.refs, c.message = c.refs[c.covered:], nil
 		c.part++
@@ -272,13 +272,16 @@
 	a := r.assignment
 	a.Version++
 	a.InSync = []fleet.VMRef{r.self}
+	heir, leaving := r.heir()
 	for _, p := range r.owner.peers {
-		joined := p.required && p.acked >= max(p.joinedAt, p.copyEnd) && r.commit >= max(p.joinedAt, p.copyEnd)
-		if p.inSync && !p.suspect || joined {
+		held := max(p.joinedAt, p.copyEnd)
+		joined := p.required && p.acked >= held && r.commit >= held
+		// Control refuses a replica that joins while the owner changes.
+		if p.inSync && !p.suspect || joined && !leaving {
 			a.InSync = append(a.InSync, p.ref)
 		}
 	}
-	if heir, ok := r.heir(); ok {
+	if leaving {
 		a.Owner = heir
 		a.Epoch++
 	}
--- a/coord/shard/world_test.go
+++ b/coord/shard/world_test.go
@@ -27,6 +27,8 @@
 	double  float64
 	clients clients
 	notes   map[string]int
+	// unconfirmed releases reach no target.
+	unconfirmed bool
 }
 
 // simNode is one VM: an entry with a replica of the shard.
@@ -97,6 +99,7 @@
 	n := &simNode{alive: true, clock: time.Duration(w.rng.Int64N(int64(time.Hour))), released: map[string]int{}}
 	n.vm = fleet.VM{VMRef: fleet.VMRef{ID: id, Incarnation: fmt.Sprint(w.order)}, DataCentre: fmt.Sprintf("dc-%d", i%3)}
 	n.r = New(n.vm.VMRef, 0)
+	n.r.partBytes = 2000 // several parts per copy
 	w.nodes[i] = n
 	w.after(time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), func() { w.poll(n) })
 	w.after(TickInterval, func() { w.tick(n) })
@@ -200,8 +203,8 @@
 		})
 	case ReleaseMemory:
 		n.released[e.Release.Program.ID]++
-		if w.rng.Float64() >= w.loss {
-			w.after(10*time.Millisecond, func() { w.on(n, func() { w.handle(n, ReleaseDone{e.Release}) }) })
+		if !w.unconfirmed && w.rng.Float64() >= w.loss {
+			w.after(10*time.Millisecond, func() { w.on(n, func() { w.handle(n, ReleaseDone(e)) }) })
 		}
 	case Note:
 		w.notes[e.Name]++
@@ -248,8 +251,8 @@
 				w.on(n, func() {
 					if view.Revision >= n.revision {
 						n.revision, n.known = view.Revision, a
-						w.handle(n, FleetChanged{view})
 						w.handle(n, Assigned{a})
+						w.handle(n, FleetChanged{view})
 					}
 					n.lease = max(n.lease, sent+simLease)
 					w.handle(n, LeaseRenewed{n.lease + n.clock})
@@ -281,11 +284,18 @@
 	c.revision++
 }
 
-// assign is control.assign: a compare-and-set on the version.
+// assign is control.assign: a compare-and-set on the version, with the rules of coord/fleet.
 func (c *fakeControl) assign(a fleet.Assignment) bool {
-	if a.Version != c.assignment.Version+1 {
+	old := &c.assignment
+	if a.Version != old.Version+1 || !slices.Contains(old.InSync, a.Owner) || !slices.Contains(a.InSync, a.Owner) ||
+		!slices.Equal(a.Replicas, old.Replicas) || (a.Owner != old.Owner) != (a.Epoch == old.Epoch+1) {
 		return false
 	}
+	for _, ref := range a.InSync {
+		if !slices.Contains(old.Replicas, ref) || !slices.Contains(old.InSync, ref) && a.Owner != old.Owner {
+			return false
+		}
+	}
 	c.commit(a)
 	return true
 }
@@ -325,6 +335,18 @@
 	c.w.after(200*time.Millisecond, c.plan)
 }
 
+// move moves the ownership although the owner works, as the planner does to balance.
+func (c *fakeControl) move() {
+	a := c.assignment
+	a.Owner = a.InSync[c.w.rng.IntN(len(a.InSync))]
+	if _, live := c.polls[a.Owner]; !live || a.Owner == c.assignment.Owner {
+		return
+	}
+	a.Epoch++
+	a.Version++
+	c.commit(a)
+}
+
 func (c *fakeControl) planned() (a fleet.Assignment, changed bool) {
 	a = c.assignment
 	dead := func(ref fleet.VMRef) bool { return c.polls[ref] == 0 && c.w.now > simDeath }
