--- a/coord/ratelimit/client.go
+++ b/coord/ratelimit/client.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// MaxWait is how long a request waits for tokens that the owner does not
-	// have yet. It exceeds MaxValidity, so a caller that uses its whole burst at
-	// once gets the part that the bucket's capacity gives up for the validity.
+	// MaxWait is how long a request may wait for tokens that the owner does not
+	// have yet. Callers that use their whole burst at once and then their whole
+	// rate wait up to MaxValidity, because the bucket's capacity gives up that
+	// part of the burst; the rest covers competition between VMs.
 	MaxWait = 250 * time.Millisecond
 	// UnavailableAfter is how long a request waits for an owner that does not answer.
 	UnavailableAfter = time.Second
@@ -76,6 +77,7 @@
 // queue holds the requests that wait for one key, oldest first.
 type queue struct {
 	waiting  []waiting
+	reserved []reservation
 	inFlight *acquisition
 	notUntil time.Duration // the next acquisition may be sent then
 	wake     time.Duration // the next Tick that was asked for; 0: none
@@ -87,6 +89,13 @@
 	arrived time.Duration
 }
 
+// reservation is a request that may run from due until before latest.
+type reservation struct {
+	waiting
+	due, latest time.Duration
+	tokens      int64 // the organisation's counter, to be returned with the grant
+}
+
 type acquisition struct {
 	sequence uint64
 	sent     time.Duration
@@ -113,6 +122,7 @@
 	if q == nil {
 		return
 	}
+	q.reserved = slices.DeleteFunc(q.reserved, func(r reservation) bool { return r.id == id })
 	i := slices.IndexFunc(q.waiting, func(w waiting) bool { return w.id == id })
 	if i < 0 {
 		return
@@ -131,33 +141,57 @@
 	}
 	flight := *q.inFlight
 	q.inFlight = nil
-	if elapsed := now - flight.sent; a.Granted > 0 && (elapsed < 0 || elapsed >= a.Validity) {
+	elapsed := now - flight.sent
+	if a.Granted+a.Reserved > 0 && (elapsed < 0 || elapsed >= a.Validity) {
 		// The grant has expired; its tokens are lost and the requests ask again.
 		return c.next(now, key, q, nil)
 	}
-	granted := min(a.Granted, flight.count)
 	var effects []Effect
-	for _, w := range q.waiting[:granted] {
-		effects = append(effects, Effect{Kind: Admit, Request: w.id, OrganisationTokens: a.OrganisationTokens})
-	}
-	kept := q.waiting[granted:flight.count:flight.count]
-	rest := q.waiting[flight.count:]
 	var remaining []waiting
-	for i, w := range kept {
-		wait := a.RetryAfter + time.Duration(i)*a.Spacing
-		if a.Never || now+wait > w.arrived+MaxWait {
-			effects = append(effects, Effect{Kind: Refuse, Request: w.id, RetryAfter: wait})
-			continue
+	for i, w := range q.waiting[:flight.count] {
+		index := int64(i)
+		delay := a.Delay(index)
+		switch {
+		case index < a.Granted:
+			effects = append(effects, Effect{Kind: Admit, Request: w.id, OrganisationTokens: a.OrganisationTokens})
+		case index < a.Granted+a.Reserved:
+			q.reserved = append(q.reserved, reservation{w, now + delay, flight.sent + delay + a.Validity, a.OrganisationTokens})
+		case a.Never || now+delay > w.arrived+MaxWait:
+			effects = append(effects, Effect{Kind: Refuse, Request: w.id, RetryAfter: delay})
+		default:
+			remaining = append(remaining, w)
+			q.notUntil = now + a.RetryAfter
 		}
-		remaining = append(remaining, w)
-	}
-	if len(remaining) > 0 {
-		q.notUntil = now + a.RetryAfter
 	}
-	q.waiting = append(remaining, rest...)
+	q.waiting = append(remaining, q.waiting[flight.count:]...)
 	return c.next(now, key, q, effects)
 }
 
+// admitReserved admits the requests whose reserved tokens have arrived. Those
+// that this VM missed, because it was paused, ask again.
+func (q *queue) admitReserved(now time.Duration) []Effect {
+	var effects []Effect
+	var missed []waiting
+	q.reserved = slices.DeleteFunc(q.reserved, func(r reservation) bool {
+		if now < r.due {
+			return false
+		}
+		if now < r.latest {
+			effects = append(effects, Effect{Kind: Admit, Request: r.id, OrganisationTokens: r.tokens})
+		} else {
+			missed = append(missed, r.waiting)
+		}
+		return true
+	})
+	if q.inFlight != nil {
+		// The head of the queue belongs to the acquisition under way.
+		q.waiting = slices.Insert(q.waiting, int(q.inFlight.count), missed...)
+		return effects
+	}
+	q.waiting = append(missed, q.waiting...)
+	return effects
+}
+
 // Failed reports that an acquisition brought no answer, for whatever reason.
 func (c *Client) Failed(now time.Duration, key Key, sequence uint64) []Effect {
 	q := c.queues[key]
@@ -186,14 +220,12 @@
 		return nil
 	}
 	q.wake = 0
+	effects := q.admitReserved(now)
 	f := q.inFlight
-	if f == nil {
-		return c.next(now, key, q, nil)
-	}
-	if now-f.sent >= AnswerTimeout {
-		return c.Failed(now, key, f.sequence)
+	if f != nil && now-f.sent >= AnswerTimeout {
+		return append(effects, c.Failed(now, key, f.sequence)...)
 	}
-	return q.wakeAt(key, f.sent+AnswerTimeout, nil)
+	return c.next(now, key, q, effects)
 }
 
 // wakeAt asks for a Tick unless an earlier one is under way, so that a busy
@@ -206,16 +238,21 @@
 	return append(effects, Effect{Kind: Wake, Key: key, At: at})
 }
 
-// next sends an acquisition for the requests of equal size at the head of the queue.
+// next sends an acquisition for the requests of equal size at the head of the
+// queue, if none is under way, and asks for the next Tick.
 func (c *Client) next(now time.Duration, key Key, q *queue, effects []Effect) []Effect {
-	if q.inFlight != nil {
-		return effects
+	for _, r := range q.reserved {
+		effects = q.wakeAt(key, r.due, effects)
 	}
-	if len(q.waiting) == 0 {
+	switch {
+	case q.inFlight != nil:
+		return q.wakeAt(key, q.inFlight.sent+AnswerTimeout, effects)
+	case len(q.waiting) == 0 && len(q.reserved) == 0:
 		delete(c.queues, key)
 		return effects
-	}
-	if now < q.notUntil {
+	case len(q.waiting) == 0:
+		return effects
+	case now < q.notUntil:
 		return q.wakeAt(key, q.notUntil, effects)
 	}
 	unit := q.waiting[0].unit
--- a/coord/ratelimit/terms.go
+++ b/coord/ratelimit/terms.go
@@ -10,6 +10,9 @@
 // burst - rate x validity keeps them within rate x T + burst. No clock is ever
 // compared with another VM's clock.
 //
+// Requests that exceed the tokens by a little reserve tokens that will arrive
+// within MaxWait: the decision then counts from the token's arrival.
+//
 // A new owner starts with an empty bucket, and only after the previous owner's
 // last decision: total admissions are then those of one bucket.
 package ratelimit
@@ -22,10 +25,10 @@
 )
 
 const (
-	// MaxValidity bounds the validity of a grant. It must stay under the
-	// difference between membership.DeadAfter and membership.LeaseLength, so
-	// that grants of a dead owner have expired when the next owner starts.
-	MaxValidity = 200 * time.Millisecond
+	// MaxValidity bounds the validity of a grant. MaxWait + MaxValidity must stay
+	// under the difference between membership.DeadAfter and LeaseLength, so that
+	// grants of a dead owner have expired when the next owner starts.
+	MaxValidity = 100 * time.Millisecond
 	// MinValidity is the shortest validity that a call between data centres fits in.
 	MinValidity = 10 * time.Millisecond
 )
--- a/server/limits/limits.go
+++ b/server/limits/limits.go
@@ -68,10 +68,8 @@
 	client   *ratelimit.Client
 	lastID   uint64
 	results  map[uint64]chan outcome
-	usage    map[string]int64         // tokens that are not reported yet
-	counters map[string]int64         // last counters that owners returned
-	starting map[int]uint64           // epochs whose previous owner is being asked to stop
-	takeover map[int]takeoverDeadline // when an unreachable previous owner has stopped for sure
+	usage    map[string]int64              // tokens that are not reported yet
+	counters map[string]*ratelimit.Counter // last counters that owners returned
 }
 
 type outcome struct {
@@ -88,9 +86,7 @@
 		client:   ratelimit.NewClient(),
 		results:  make(map[uint64]chan outcome),
 		usage:    make(map[string]int64),
-		counters: make(map[string]int64),
-		starting: make(map[int]uint64),
-		takeover: make(map[int]takeoverDeadline),
+		counters: make(map[string]*ratelimit.Counter),
 	}
 }
 
@@ -118,7 +114,7 @@
 	if len(wants) == 0 {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return Decision{Granted: true, OrganisationTokens: l.counters[organisation]}, nil
+		return Decision{Granted: true, OrganisationTokens: l.reported(organisation)}, nil
 	}
 	key := ratelimit.Key{Organisation: organisation, Profile: profile}
 	done := make(chan outcome, 1)
@@ -141,6 +137,16 @@
 	}
 }
 
+// reported returns the organisation's counter as of the last usage report. The
+// caller holds the mutex.
+func (l *Limits) reported(organisation string) int64 {
+	c := l.counters[organisation]
+	if c == nil {
+		return 0
+	}
+	return int64(c.Read(l.now()))
+}
+
 // wholeRequests rounds up: the bounds hold for whole requests.
 func wholeRequests(n float64) int64 {
 	whole := int64(n)
--- a/server/limits/owner.go
+++ b/server/limits/owner.go
@@ -3,27 +3,27 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"hemlockvale.dev/coord/fleet"
-	"hemlockvale.dev/coord/membership"
 	"hemlockvale.dev/coord/ratelimit"
 	"hemlockvale.dev/server/rpc"
 )
 
 const (
-	// reportInterval is how often usage goes to the owners and new ownerships are started.
+	// reportInterval is how often usage goes to the owners.
 	reportInterval = 200 * time.Millisecond
-	// startInterval is how often new ownerships are looked for.
+	// parallelReports bounds the usage reports in flight.
+	parallelReports = 16
+	// startInterval is how often the assignments are observed and new ownerships
+	// started. It delays the first grants after a planned move.
 	startInterval = 50 * time.Millisecond
-	// releaseTimeout bounds one call to a previous owner.
+	// releaseTimeout bounds one call to a previous owner or one usage report.
 	releaseTimeout = 500 * time.Millisecond
-	// takeoverWait is when a live previous owner that cannot be reached has
-	// stopped for sure: its lease ended at most LeaseLength after the shard was
-	// moved, and the last grants MaxValidity later. The rest covers rounding.
-	takeoverWait = membership.LeaseLength + ratelimit.MaxValidity + 100*time.Millisecond
 )
 
 // acquireRequest is the payload of rate.acquire.
@@ -50,12 +50,6 @@
 	Epoch uint64 `json:"epoch"`
 }
 
-// takeoverDeadline is the time from which an epoch may start without an answer.
-type takeoverDeadline struct {
-	epoch uint64
-	at    time.Duration
-}
-
 // handler decodes a request's parameters.
 func handler[P, R any](h func(P) (R, error)) rpc.Handler {
 	return func(_ context.Context, data json.RawMessage) (any, error) {
@@ -100,64 +94,60 @@
 // if the previous owner has stopped for sure.
 func (l *Limits) serving(now time.Duration, s *fleet.State, shard int) (uint64, bool) {
 	a, ok := s.Assignment(shard)
-	if !ok || a.Owner != l.o.Self || !l.o.Owns(shard) {
+	if !ok {
 		return 0, false
 	}
-	if epoch, started := l.owner.Epoch(shard); started && epoch == a.Epoch {
-		return a.Epoch, true
+	if a.Owner != l.o.Self {
+		l.owner.Observe(now, shard, a.Epoch)
+		return 0, false
+	}
+	if !l.o.Owns(shard) {
+		return 0, false
 	}
-	if a.Previous == (fleet.VMRef{}) || a.Previous == l.o.Self {
-		return a.Epoch, l.begin(now, a)
+	if l.owner.Serves(shard, a.Epoch) {
+		return a.Epoch, true
 	}
-	deadline := l.takeover[shard]
-	if deadline.epoch != a.Epoch {
-		deadline = takeoverDeadline{epoch: a.Epoch, at: now + takeoverWait}
-		l.takeover[shard] = deadline
+	serves, ask := l.owner.TakeOver(now, shard, a.Epoch, a.Previous != (fleet.VMRef{}))
+	if serves {
+		l.logStart(a, "every earlier owner has stopped")
 	}
-	if now >= deadline.at {
-		return a.Epoch, l.begin(now, a)
+	if ask {
+		go l.askRelease(s, a)
 	}
-	l.askRelease(s, a)
-	return 0, false
+	return a.Epoch, serves
 }
 
-// begin starts an epoch with empty buckets.
-func (l *Limits) begin(now time.Duration, a fleet.Assignment) bool {
-	delete(l.takeover, a.Shard)
-	if !l.owner.Start(now, a.Shard, a.Epoch) {
-		return false
-	}
-	l.o.Log.WithFields(logrus.Fields{"event": "rate_owner_started", "shard": a.Shard, "epoch": a.Epoch}).Debug("rate buckets start empty")
-	return true
+func (l *Limits) logStart(a fleet.Assignment, reason string) {
+	l.o.Log.WithFields(logrus.Fields{"event": "rate_owner_started", "shard": a.Shard, "epoch": a.Epoch}).Debug(reason)
 }
 
-// askRelease asks the previous owner to stop granting, once at a time per shard.
+// askRelease asks the previous owner to stop granting.
 func (l *Limits) askRelease(s *fleet.State, a fleet.Assignment) {
 	vm, ok := s.VM(a.Previous.ID)
-	if !ok || vm.VMRef != a.Previous || l.starting[a.Shard] == a.Epoch {
+	if !ok || vm.VMRef != a.Previous {
 		return
 	}
-	l.starting[a.Shard] = a.Epoch
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		err := l.o.Pool.Call(ctx, vm.RPCAddress, methodRelease, releaseRequest{Shard: a.Shard, Epoch: a.Epoch}, nil)
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.starting, a.Shard)
-		if err != nil {
-			l.o.Log.WithFields(logrus.Fields{"event": "rate_release_failed", "shard": a.Shard, "epoch": a.Epoch}).WithError(err).Warn("waiting for the previous owner's lease")
-			return
-		}
-		l.begin(l.now(), a)
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	var levels ratelimit.Levels
+	err := l.o.Pool.Call(ctx, vm.RPCAddress, methodRelease, releaseRequest{Shard: a.Shard, Epoch: a.Epoch}, &levels)
+	if err != nil {
+		l.o.Log.WithFields(logrus.Fields{"event": "rate_release_failed", "shard": a.Shard, "epoch": a.Epoch, "owner": vm.ID}).
+			WithError(err).Warn("rate buckets wait until the previous owner's lease has expired")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner.Released(l.now(), a.Shard, a.Epoch, levels)
+	if l.owner.Serves(a.Shard, a.Epoch) {
+		l.logStart(a, "the previous owner handed over its buckets")
+	}
 }
 
-func (l *Limits) releaseLocal(r releaseRequest) (struct{}, error) {
+func (l *Limits) releaseLocal(r releaseRequest) (ratelimit.Levels, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.owner.Release(r.Shard, r.Epoch)
-	return struct{}{}, nil
+	return l.owner.Release(l.now(), r.Shard, r.Epoch), nil
 }
 
 // RecordUsage counts tokens that an organisation's requests have used. They
@@ -187,20 +177,24 @@
 	return answer, nil
 }
 
-// Run reports usage and starts new ownerships until ctx ends.
+// Run reports usage and starts new ownerships until ctx ends. The two tasks run
+// apart, because a report may wait for an owner that does not answer.
 func (l *Limits) Run(ctx context.Context) {
-	report := time.NewTicker(reportInterval)
-	defer report.Stop()
-	begin := time.NewTicker(startInterval)
-	defer begin.Stop()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { every(ctx, startInterval, l.startOwned) })
+	tasks.Go(func() { every(ctx, reportInterval, func() { l.reportUsage(ctx) }) })
+	tasks.Wait()
+}
+
+func every(ctx context.Context, interval time.Duration, task func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-begin.C:
-			l.startOwned()
-		case <-report.C:
-			l.reportUsage(ctx)
+		case <-ticker.C:
+			task()
 		}
 	}
 }
@@ -231,21 +225,33 @@
 		}
 		reports[a.Owner][organisation] = tokens
 	}
+	var calls errgroup.Group
+	calls.SetLimit(parallelReports)
 	for owner, tokens := range reports {
-		answer, err := l.reportTo(ctx, s, owner, usageReport{Tokens: tokens})
-		if err != nil {
-			l.o.Log.WithFields(logrus.Fields{"event": "usage_report_failed", "owner": owner.ID}).WithError(err).Warn("usage is not counted")
-			continue
-		}
-		l.mu.Lock()
-		for organisation, total := range answer.OrganisationTokens {
-			l.counters[organisation] = total
-		}
-		l.mu.Unlock()
+		calls.Go(func() error {
+			l.reportTo(ctx, s, owner, usageReport{Tokens: tokens})
+			return nil
+		})
+	}
+	// The functions return no errors.
+	_ = calls.Wait()
+}
+
+// reportTo sends one report and keeps the counters of the answer.
+func (l *Limits) reportTo(ctx context.Context, s *fleet.State, owner fleet.VMRef, r usageReport) {
+	answer, err := l.callUsage(ctx, s, owner, r)
+	if err != nil {
+		l.o.Log.WithFields(logrus.Fields{"event": "usage_report_failed", "owner": owner.ID}).WithError(err).Warn("usage is not counted")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for organisation, total := range answer.OrganisationTokens {
+		l.counters[organisation] = ratelimit.NewCounter(l.now(), float64(total))
 	}
 }
 
-func (l *Limits) reportTo(ctx context.Context, s *fleet.State, owner fleet.VMRef, r usageReport) (usageAnswer, error) {
+func (l *Limits) callUsage(ctx context.Context, s *fleet.State, owner fleet.VMRef, r usageReport) (usageAnswer, error) {
 	if owner == l.o.Self {
 		return l.usageLocal(r)
 	}
