--- a/coord/raft/cases_test.go
+++ b/coord/raft/cases_test.go
@@ -133,6 +133,12 @@
 			s.step(lead, RemoveMember{Token: 1, ID: other.id})
 			require.ErrorIs(t, s.answers[1], ErrUnsafeChange)
 		},
+		"member of a cluster accepts no other initial configuration": func(t *testing.T, s *simulation, lead, other *replica) {
+			s.step(other, Bootstrap{Token: 1, Configuration: voters("a", "b", "c")})
+			require.ErrorIs(t, s.answers[1], ErrAlreadyFormed)
+			s.step(s.create("d"), Bootstrap{Token: 2, Configuration: voters("a", "b", "c")})
+			require.ErrorIs(t, s.answers[2], ErrInvalidConfiguration)
+		},
 		"concurrent reads share a round": func(t *testing.T, s *simulation, lead, _ *replica) {
 			heartbeats := 0
 			s.trace = func(m Message) {
--- a/server/quorum/describe.go
+++ b/server/quorum/describe.go
@@ -1,8 +1,6 @@
 package quorum
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"hemlockvale.dev/coord/raft"
@@ -108,8 +106,6 @@
 	}
 }
 
-func (i *instruments) now() time.Time { return time.Now() }
-
 // update copies the core's positions into the gauges.
 func (i *instruments) update(n *raft.Node) {
 	i.term.Update(int64(n.Term()))
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -96,6 +96,15 @@
 	Metrics metrics.Registry
 	// Raft overrides protocol parameters; ID and Seed are set by Start.
 	Raft raft.Config
+	// wrapStorage lets tests inject storage failures.
+	wrapStorage func(storage) storage
+}
+
+// storage is what the replica needs of *wal.Log after the start.
+type storage interface {
+	Append(hard *raft.HardState, entries []raft.Entry) error
+	SaveSnapshot(s raft.Snapshot, hard raft.HardState, entries []raft.Entry) error
+	Close() error
 }
 
 // Quorum is a running replica.
@@ -103,7 +112,7 @@
 	opts    Options
 	id      ReplicaID
 	log     *logrus.Entry
-	store   *wal.Log
+	store   storage
 	node    *raft.Node
 	start   time.Time
 	inputs  chan input
@@ -141,6 +150,9 @@
 		return nil, fmt.Errorf("start replica %s: %w", o.Name, err)
 	}
 	q := &Quorum{opts: o, id: contents.ID, store: store, start: time.Now(), inputs: make(chan input, inputQueue), stopped: make(chan struct{})}
+	if o.wrapStorage != nil {
+		q.store = o.wrapStorage(store)
+	}
 	q.log = o.Log.WithFields(logrus.Fields{"replica": o.Name, "storage": q.id.Storage})
 	q.metrics = newInstruments(o.Metrics)
 	if err := q.recover(contents); err != nil {
@@ -199,8 +211,12 @@
 	return nil
 }
 
+// Self returns the replica's identity.
+func (q *Quorum) Self() ReplicaID { return q.id }
+
 // Leader returns the known leader's name and address, and whether it is this
-// replica. The name is empty while no leader is known.
+// replica. The name is empty while no leader is known. Only ReadBarrier proves
+// that this replica still leads.
 func (q *Quorum) Leader() (name, address string, self bool) {
 	v := q.view.Load()
 	if v.leader.IsZero() {
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -62,16 +65,42 @@
 
 	mu      sync.Mutex
 	blocked map[string]bool
+	// failing storage refuses writes.
+	failing map[string]bool
+}
+
+// faultyStorage fails like a disk whose sync failed.
+type faultyStorage struct {
+	storage
+	failing func() bool
+}
+
+func (f faultyStorage) Append(hard *raft.HardState, entries []raft.Entry) error {
+	if f.failing() {
+		return errDisk
+	}
+	return f.storage.Append(hard, entries)
+}
+
+var errDisk = errors.New("injected disk failure")
+
+func (c *cluster) is(set map[string]bool, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return set[name]
+}
+
+func (c *cluster) set(set map[string]bool, name string, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set[name] = on
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), peers: map[string]string{}, live: map[string]*replica{}, blocked: map[string]bool{}}
+	c := &cluster{t: t, dir: t.TempDir(), peers: map[string]string{}, live: map[string]*replica{}, blocked: map[string]bool{}, failing: map[string]bool{}}
 	for _, name := range names {
 		c.peers[name] = c.reserve()
 	}
-	for _, name := range names {
-		c.start(name)
-	}
 	t.Cleanup(func() {
 		for name := range c.live {
 			c.stop(name)
@@ -80,6 +109,19 @@
 	return c
 }
 
+func (c *cluster) startAll() *cluster {
+	for name := range c.peers {
+		c.start(name)
+	}
+	return c
+}
+
+// wipe replaces a stopped replica's disk by an empty one.
+func (c *cluster) wipe(name string) {
+	c.stop(name)
+	require.NoError(c.t, os.RemoveAll(filepath.Join(c.dir, name)))
+}
+
 func (c *cluster) reserve() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
@@ -90,9 +132,7 @@
 func (c *cluster) start(name string) *replica {
 	r := &replica{state: &recorder{}, server: rpc.NewServer(nil), pool: rpc.NewPool(time.Second)}
 	dial := func(_ context.Context, address string) (rpc.Caller, error) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.blocked[name] || c.blocked[address] {
+		if c.is(c.blocked, name) || c.is(c.blocked, address) {
 			return nil, rpc.ErrUnreachable
 		}
 		return r.pool.To(address), nil
@@ -100,6 +140,9 @@
 	q, err := Start(Options{
 		Name: name, DataDir: filepath.Join(c.dir, name), RPCAddress: c.peers[name], Peers: c.peers,
 		StateMachine: r.state, Dial: dial, Raft: raft.Config{CompactAfter: 20, RetainEntries: 5, SnapshotChunkBytes: 64},
+		wrapStorage: func(s storage) storage {
+			return faultyStorage{s, func() bool { return c.is(c.failing, name) }}
+		},
 	})
 	require.NoError(c.t, err)
 	r.Quorum = q
@@ -121,9 +164,8 @@
 
 // isolate cuts all connections of a replica, or restores them.
 func (c *cluster) isolate(name string, cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.blocked[name], c.blocked[c.peers[name]] = cut, cut
+	c.set(c.blocked, name, cut)
+	c.set(c.blocked, c.peers[name], cut)
 }
 
 // leader waits until a replica passes a read barrier.
@@ -165,9 +207,10 @@
 }
 
 // Guards against a first start that forms no cluster, and against a replica
-// that loses acknowledged commands in a restart or behind a snapshot.
+// that loses acknowledged commands in a restart, behind a snapshot or after a
+// move to an address that the others' settings do not have.
 func TestFormReplicateRestart(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newCluster(t, "a", "b", "c").startAll()
 	var want []string
 	for i := range 30 {
 		want = append(want, fmt.Sprint("command ", i))
@@ -178,6 +221,7 @@
 		c.stop(name)
 		c.propose("without " + name)
 		want = append(want, "without "+name)
+		c.peers[name] = c.reserve()
 		c.start(name)
 	}
 	c.converge(want)
@@ -185,15 +229,14 @@
 
 // Guards against a wiped disk that votes, or forms a second cluster, before an operator adds it.
 func TestWipedDiskIsReplaced(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newCluster(t, "a", "b", "c").startAll()
 	var want []string
 	for i := range 25 {
 		want = append(want, fmt.Sprint("command ", i))
 		c.propose(want[i])
 	}
 	old := c.live["a"].id
-	c.stop("a")
-	require.NoError(t, os.RemoveAll(filepath.Join(c.dir, "a")))
+	c.wipe("a")
 	wiped := c.start("a")
 	require.NotEqual(t, old, wiped.id)
 	_, lead := c.leader()
@@ -210,11 +253,16 @@
 // Guards against an isolated leader that still answers reads, and against a
 // definite answer for a proposal whose outcome it cannot know.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
-	c := newCluster(t, "a", "b", "c")
+	c := newCluster(t, "a", "b", "c").startAll()
 	c.propose("before")
 	name, old := c.leader()
 	c.isolate(name, true)
-	_, err := old.Propose(t.Context(), []byte("uncertain"))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := old.Propose(ctx, []byte("interrupted"))
+	require.ErrorIs(t, err, ErrUnknownOutcome)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = old.Propose(t.Context(), []byte("uncertain"))
 	require.ErrorIs(t, err, ErrUnknownOutcome)
 	require.ErrorIs(t, old.ReadBarrier(t.Context()), ErrNotLeader)
 	_, err = old.Propose(t.Context(), []byte("refused"))
@@ -224,3 +272,121 @@
 	c.propose("after")
 	c.converge([]string{"before", "after"})
 }
+
+// Guards against a cluster that forms without a configured peer, and against
+// replicas with wiped disks that form a second cluster while one old disk survives.
+func TestFormationNeedsEveryPeer(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	unformed := func(names ...string) {
+		time.Sleep(5 * formInterval)
+		for _, name := range names {
+			require.False(t, c.live[name].Describe().Formed, name)
+		}
+	}
+	c.start("a")
+	c.start("b")
+	unformed("a", "b")
+	c.start("c")
+	c.propose("first")
+	c.converge([]string{"first"})
+	c.wipe("a")
+	c.wipe("b")
+	c.start("a")
+	c.start("b")
+	unformed("a", "b")
+}
+
+// Guards against a replica that acknowledges, votes or leads after its disk failed.
+func TestFailedDiskEndsTheRole(t *testing.T) {
+	c := newCluster(t, "a", "b", "c").startAll()
+	c.propose("before")
+	name, old := c.leader()
+	c.set(c.failing, name, true)
+	_, err := old.Propose(t.Context(), []byte("uncertain"))
+	require.ErrorIs(t, err, ErrUnknownOutcome)
+	<-old.Stopped()
+	require.ErrorIs(t, old.Failure(), errDisk)
+	require.Equal(t, "stopped", old.Describe().Role)
+	require.Error(t, old.ReadBarrier(t.Context()))
+	_, err = old.Propose(t.Context(), []byte("refused"))
+	require.ErrorIs(t, err, ErrNotLeader)
+	c.set(c.failing, name, false)
+	c.stop(name)
+	c.propose("after")
+	c.start(name)
+	c.converge([]string{"before", "after"})
+}
+
+// Guards against a false outcome: a command that was reported as applied must
+// be applied once, one that was refused never. Clients run while replicas are
+// isolated.
+func TestOutcomesAreTrue(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	if value, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
+		seed = value
+	}
+	t.Logf("SEED=%d", seed)
+	c := newCluster(t, "a", "b", "c").startAll()
+	c.leader()
+	var mu sync.Mutex
+	outcomes := map[string]error{}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range 6 {
+		target := c.live[string(rune('a'+i%3))]
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				command := fmt.Sprintf("client %d command %d", i, n)
+				_, err := target.Propose(context.Background(), []byte(command))
+				mu.Lock()
+				outcomes[command] = err
+				mu.Unlock()
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	for range 5 {
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+		name := string(rune('a' + random.IntN(3)))
+		c.isolate(name, true)
+		time.Sleep(time.Duration(300+random.IntN(700)) * time.Millisecond)
+		c.isolate(name, false)
+	}
+	close(stop)
+	clients.Wait()
+	c.propose("last")
+	var final []string
+	c.eventually("replicas agree", func() bool {
+		final = c.live["a"].state.list()
+		return slices.Contains(final, "last") && slices.Equal(final, c.live["b"].state.list()) && slices.Equal(final, c.live["c"].state.list())
+	})
+	applied := map[string]int{}
+	for _, command := range final {
+		applied[command]++
+	}
+	counts := map[string]int{}
+	for command, err := range outcomes {
+		switch {
+		case err == nil:
+			counts["applied"]++
+			require.Equal(t, 1, applied[command], command)
+		case errors.Is(err, ErrNotLeader):
+			counts["not leader"]++
+			require.Zero(t, applied[command], command)
+		default:
+			counts["unknown"]++
+			require.ErrorIs(t, err, ErrUnknownOutcome)
+			require.LessOrEqual(t, applied[command], 1, command)
+		}
+	}
+	t.Logf("outcomes: %v", counts)
+	require.Positive(t, counts["applied"])
+}
--- a/server/quorum/requests.go
+++ b/server/quorum/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"hemlockvale.dev/coord/raft"
 )
@@ -25,14 +26,15 @@
 func (w *waiter) answer(value any, err error) { w.done <- outcome{value, err} }
 
 // Propose appends a command to the log and returns the state machine's result
-// once it is committed and applied. With ErrNotLeader or ErrTooLarge the command certainly is
-// not and will not be applied; with ErrUnknownOutcome it may be.
+// once it is committed and applied. With ErrNotLeader or ErrTooLarge the
+// command certainly is not and never will be applied; with ErrUnknownOutcome it
+// may be.
 func (q *Quorum) Propose(ctx context.Context, data []byte) (any, error) {
 	if len(data) > MaxProposalBytes {
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
 	}
 	token := q.tokens.Add(1)
-	defer q.metrics.propose.UpdateSince(q.metrics.now())
+	defer q.metrics.propose.UpdateSince(time.Now())
 	return q.request(ctx, raft.Propose{Token: token, Data: data}, token, newWaiter(), ErrUnknownOutcome)
 }
 
@@ -90,6 +92,11 @@
 // request hands an event to the core and waits for the answer. Before the core
 // has the event it certainly has no effect; afterwards an interrupted wait ends with lost.
 func (q *Quorum) request(ctx context.Context, ev raft.Event, token uint64, w *waiter, lost error) (any, error) {
+	select {
+	case <-q.stopped:
+		return nil, errors.Join(ErrNotLeader, ErrStopped)
+	default:
+	}
 	select {
 	case q.inputs <- input{event: ev, token: token, waiter: w}:
 	case <-ctx.Done():
--- a/server/quorum/transport.go
+++ b/server/quorum/transport.go
@@ -183,10 +183,13 @@
 	if p.To != q.id {
 		return nil, rpc.Errorf("wrong_replica", "message for %s reached %s", p.To, q.id)
 	}
-	q.peers.learn(p.From, p.FromAddress)
 	select {
 	case <-q.stopped:
 		return nil, rpc.Errorf("stopped", "replica %s is stopped", q.id)
+	default:
+	}
+	q.peers.learn(p.From, p.FromAddress)
+	select {
 	case q.inputs <- input{event: raft.Receive{Message: p.Message}}:
 		return struct{}{}, nil
 	default:
@@ -198,5 +201,7 @@
 func (t *transport) learn(id ReplicaID, address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.learned[id] = address
+	if address != "" {
+		t.learned[id] = address
+	}
 }
