--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -210,6 +210,7 @@
 // that loses acknowledged commands in a restart, behind a snapshot or after a
 // move to an address that the others' settings do not have.
 func TestFormReplicateRestart(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
 	var want []string
 	for i := range 30 {
@@ -229,6 +230,7 @@
 
 // Guards against a wiped disk that votes, or forms a second cluster, before an operator adds it.
 func TestWipedDiskIsReplaced(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
 	var want []string
 	for i := range 25 {
@@ -253,6 +255,7 @@
 // Guards against an isolated leader that still answers reads, and against a
 // definite answer for a proposal whose outcome it cannot know.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
 	c.propose("before")
 	name, old := c.leader()
@@ -276,6 +279,7 @@
 // Guards against a cluster that forms without a configured peer, and against
 // replicas with wiped disks that form a second cluster while one old disk survives.
 func TestFormationNeedsEveryPeer(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "a", "b", "c")
 	unformed := func(names ...string) {
 		time.Sleep(5 * formInterval)
@@ -296,8 +300,39 @@
 	unformed("a", "b")
 }
 
+// Guards against a survivor that cannot continue alone after the disks of a
+// majority are lost, or that loses committed commands on the way.
+func TestForceSingleVoter(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "a", "b", "c").startAll()
+	var want []string
+	for i := range 25 {
+		want = append(want, fmt.Sprint("command ", i))
+		c.propose(want[i])
+	}
+	c.converge(want)
+	c.wipe("b")
+	c.wipe("c")
+	c.stop("a")
+	_, err := ForceSingleVoter(filepath.Join(c.dir, "b"), "b", c.peers["b"])
+	require.ErrorIs(t, err, ErrUnformed)
+	_, err = ForceSingleVoter(filepath.Join(c.dir, "a"), "a", c.peers["a"])
+	require.NoError(t, err)
+	c.start("a")
+	c.propose("alone")
+	for _, name := range []string{"b", "c"} {
+		c.start(name)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		require.NoError(t, c.live["a"].AddVoter(ctx, Voter{ReplicaID{Name: name}, c.peers[name]}))
+		cancel()
+	}
+	c.propose("together")
+	c.converge(append(want, "alone", "together"))
+}
+
 // Guards against a replica that acknowledges, votes or leads after its disk failed.
 func TestFailedDiskEndsTheRole(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
 	c.propose("before")
 	name, old := c.leader()
@@ -321,6 +356,7 @@
 // be applied once, one that was refused never. Clients run while replicas are
 // isolated.
 func TestOutcomesAreTrue(t *testing.T) {
+	t.Parallel()
 	seed := uint64(time.Now().UnixNano())
 	if value, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
 		seed = value
