--- /dev/null
+++ b/coord/shard/waitlist.go
@@ -0,0 +1,132 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hemlockvale.dev/coord/program"
+)
+
+// waitList holds the waiting calls of each program in order of arrival.
+type waitList struct {
+	queues map[program.Ref][]*waiter
+}
+
+func newWaitList() waitList { return waitList{make(map[program.Ref][]*waiter)} }
+
+func (l *waitList) add(w *waiter) {
+	q := program.QueueRef(w.call.Program)
+	l.queues[q] = append(l.queues[q], w)
+}
+
+// take removes and returns the queue of one program.
+func (l *waitList) take(q program.Ref) []*waiter {
+	waiting := l.queues[q]
+	delete(l.queues, q)
+	return waiting
+}
+
+func (l *waitList) put(q program.Ref, waiting []*waiter) {
+	if len(waiting) == 0 {
+		delete(l.queues, q)
+		return
+	}
+	l.queues[q] = waiting
+}
+
+// all returns all waiting calls in order of their requests.
+func (l *waitList) all() []*waiter { return l.collect(func(*waiter) bool { return true }) }
+
+// expired removes and returns the calls whose wait limit has passed.
+func (l *waitList) expired(now time.Duration) []*waiter {
+	match := func(w *waiter) bool { return w.deadline <= now }
+	out := l.collect(match)
+	for _, w := range out {
+		l.remove(w.call.Program, match)
+	}
+	return out
+}
+
+// removeRequest removes and returns the calls of one attempt.
+func (l *waitList) removeRequest(ref program.Ref, request string) []*waiter {
+	return l.remove(ref, func(w *waiter) bool { return request != "" && w.call.Request == request })
+}
+
+// removeProgram removes and returns the calls that wait for the turn of one
+// program. Retries stay: they wait for the outcome of a running call.
+func (l *waitList) removeProgram(ref program.Ref) []*waiter {
+	return l.remove(ref, func(w *waiter) bool { return w.call.Program == ref && !w.retry })
+}
+
+// remove removes and returns the matching calls in the queue of one program.
+func (l *waitList) remove(ref program.Ref, match func(*waiter) bool) []*waiter {
+	q := program.QueueRef(ref)
+	var out []*waiter
+	l.put(q, slices.DeleteFunc(l.take(q), func(w *waiter) bool {
+		if match(w) {
+			out = append(out, w)
+			return true
+		}
+		return false
+	}))
+	return out
+}
+
+func (l *waitList) collect(match func(*waiter) bool) []*waiter {
+	var out []*waiter
+	for _, waiting := range l.queues {
+		for _, w := range waiting {
+			if match(w) {
+				out = append(out, w)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *waiter) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+// find returns the waiting call of one attempt, or nil.
+func (l *waitList) find(ref program.Ref, request string) *waiter {
+	for _, w := range l.queues[program.QueueRef(ref)] {
+		if request != "" && w.call.Request == request {
+			return w
+		}
+	}
+	return nil
+}
+
+// requestMemoryTime is how long a request is remembered, at least: a message
+// that is delivered later than that belongs to a connection that was closed.
+const requestMemoryTime = 30 * time.Second
+
+// requestMemory remembers the requests that were answered, started or withdrawn,
+// so that a message that is delivered twice does not start a second call.
+type requestMemory struct {
+	current, previous map[string]program.BeginResult
+	rotated           time.Duration
+}
+
+func (m *requestMemory) put(request string, result program.BeginResult) {
+	if request == "" {
+		return
+	}
+	if m.current == nil {
+		m.current = make(map[string]program.BeginResult)
+	}
+	m.current[request] = result
+}
+
+func (m *requestMemory) get(request string) (program.BeginResult, bool) {
+	if result, ok := m.current[request]; ok {
+		return result, true
+	}
+	result, ok := m.previous[request]
+	return result, ok
+}
+
+func (m *requestMemory) rotate(now time.Duration) {
+	if now-m.rotated >= requestMemoryTime {
+		m.current, m.previous, m.rotated = nil, m.current, now
+	}
+}
