Count a late repetition of EnsureReleased as a new release

EnsureReleased took a program for released when an earlier release of it had been abandoned by its caller, although the program had come back since. Pending releases are counted by program instead of searched.

--- a/coord/target/release.go
+++ b/coord/target/release.go
@@ -53,9 +53,8 @@
 		return
 	}
 	r.requests[request] = true
-	if r.status.Final() {
-		r.reopen(s.now)
-	}
+	// The program may have come back after the state that a check has seen.
+	r.reopen(s.now)
 }
 
 // stored reacts to a cache event that shows released memory to be held again.
--- a/server/targets/release.go
+++ b/server/targets/release.go
@@ -64,6 +64,8 @@
 type inboxItem struct {
 	program string
 	ids     []string
+	// renew makes the owners check again what they may already have confirmed.
+	renew bool
 }
 
 func (b *releaseInbox) add(i inboxItem) bool {
@@ -84,6 +86,13 @@
 	return items
 }
 
+// has reports whether a release of the program waits.
+func (b *releaseInbox) has(program string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.items, func(i inboxItem) bool { return i.program == program })
+}
+
 func (b *releaseInbox) size() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,7 +105,7 @@
 // has confirmed it or the target's run has ended. The caller may repeat it.
 func (t *Targets) Release(ref program.Ref, ids []string) {
 	key := CacheKey(ref)
-	if !t.inbox.add(inboxItem{key, slices.Clone(ids)}) {
+	if !t.inbox.add(inboxItem{program: key, ids: slices.Clone(ids)}) {
 		t.log.WithFields(logrus.Fields{"event": "release_not_queued", "program": key}).Error("too many releases are pending")
 	}
 }
@@ -110,20 +119,40 @@
 
 // admitReleases turns the inbox into pending releases. The caller holds the lock.
 func (t *Targets) admitReleases() {
-	now := t.now()
 	for _, item := range t.inbox.take() {
 		for _, id := range slices.Concat(item.ids, t.registry.Holders(item.program)) {
-			k := releaseKey{id, item.program}
-			if t.releases[k] == nil && len(t.releases) < maxPendingReleases {
-				t.releases[k] = &pendingRelease{request: newID(), since: now}
-			}
+			t.admitRelease(releaseKey{id, item.program}, item.renew)
 		}
 	}
 }
 
+func (t *Targets) admitRelease(k releaseKey, renew bool) {
+	r := t.releases[k]
+	switch {
+	case r != nil && renew:
+		r.request = newID()
+	case r != nil:
+	case len(t.releases) >= maxPendingReleases:
+		t.giveUp(k.program)
+	default:
+		t.releases[k] = &pendingRelease{request: newID(), since: t.now()}
+		t.pendingOf[k.program]++
+	}
+}
+
+// dropRelease removes a pending release. The caller holds the lock.
+func (t *Targets) dropRelease(k releaseKey) {
+	delete(t.releases, k)
+	t.pendingOf[k.program]--
+	if t.pendingOf[k.program] == 0 {
+		delete(t.pendingOf, k.program)
+	}
+}
+
 // repeatReleases sends all pending releases to their owners.
 func (t *Targets) repeatReleases(ctx context.Context) {
 	t.mu.Lock()
+	t.forgetAsked(t.now())
 	t.admitReleases()
 	here, away := t.groupReleases()
 	t.settle(here, t.releaseHere(here))
@@ -144,7 +173,8 @@
 	for k, r := range t.releases {
 		if now-r.since >= releaseLifetime {
 			t.log.WithFields(logrus.Fields{"event": "release_abandoned", "target": k.target, "program": k.program}).Error("no owner confirmed the release")
-			delete(t.releases, k)
+			t.giveUp(k.program)
+			t.dropRelease(k)
 			continue
 		}
 		item := releaseItem{k.target, k.program, r.request}
@@ -180,7 +210,7 @@
 	for i, item := range items[:min(len(items), len(final))] {
 		k := releaseKey{item.Target, item.Program}
 		if r := t.releases[k]; final[i] && r != nil && r.request == item.Request {
-			delete(t.releases, k)
+			t.dropRelease(k)
 			t.log.WithFields(logrus.Fields{
 				"event": "release_confirmed", "target": item.Target, "program": item.Program, "ms": (t.now() - r.since).Milliseconds(),
 			}).Info("engine memory is free")
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -92,8 +92,10 @@
 	waiters map[string]chan error
 	// releases are those that Release was called for, until their owner confirms them.
 	releases map[releaseKey]*pendingRelease
-	// requested holds the programs whose release EnsureReleased has started.
-	requested map[string]bool
+	// pendingOf counts the pending releases of each program.
+	pendingOf map[string]int
+	// asked are the programs that EnsureReleased was called for.
+	asked map[string]*askedRelease
 	// effects are carried out by the goroutines of Run.
 	effects chan effect
 }
@@ -108,7 +110,8 @@
 	t := &Targets{
 		options: o, log: o.Log, started: time.Now(), client: newOrderClient(), metrics: newCounters(o.Metrics),
 		registry: target.NewRegistry(), book: target.NewBook(), outbox: newOutbox(),
-		waiters: make(map[string]chan error), releases: make(map[releaseKey]*pendingRelease), requested: make(map[string]bool),
+		waiters: make(map[string]chan error), releases: make(map[releaseKey]*pendingRelease),
+		pendingOf: make(map[string]int), asked: make(map[string]*askedRelease),
 		effects: make(chan effect, effectQueue),
 	}
 	return t
--- a/server/targets/targets_test.go
+++ b/server/targets/targets_test.go
@@ -239,6 +239,32 @@
 	}
 }
 
+// Guards against a release that is reported as complete although the program
+// came back after an earlier one that nobody asked for to the end.
+func TestEnsureReleased(t *testing.T) {
+	t.Parallel()
+	_, nodes := newFleet(t, 2)
+	n := nodes[1]
+	e, _ := startEngine(t, emulator.EngineOptions{ID: "e1"}, nodes...)
+	sees(t, n, 2*time.Second, count(1))
+	key := CacheKey(testProgram)
+	ensure := func() error { return n.EnsureReleased(testProgram, []string{"e1"}) }
+	chat(t, e)
+	require.ErrorIs(t, ensure(), ErrReleasePending)
+	require.Eventually(t, func() bool { return n.PendingReleases() == 0 }, 10*time.Second, 10*time.Millisecond)
+	n.mu.Lock()
+	n.asked[key].lastAsked -= askedMemory
+	n.mu.Unlock()
+	chat(t, e)
+	require.ErrorIs(t, ensure(), ErrReleasePending, "too late to be a repetition")
+	require.Eventually(t, func() bool { return ensure() == nil }, 10*time.Second, 10*time.Millisecond)
+	require.False(t, e.State().Holds(key))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.Empty(t, n.asked)
+	require.Empty(t, n.pendingOf)
+}
+
 // Guards against an order of a failed or paused owner that takes effect after
 // the next owner has begun.
 func TestOrdersOfAnEarlierOwner(t *testing.T) {
