--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -165,7 +165,9 @@
 	work := max(d.prompt-decision.CachedTokens, 1)
 	e.Targets.Dispatched(decision.Target, work)
 	e.metrics.cached.Inc(decision.CachedTokens)
+	done := e.metrics.stage(stageTarget)
 	a := d.send(ctx, decision.Target, address, decision.Priority)
+	done()
 	e.Targets.Completed(decision.Target, work, a.load)
 	if a.result == retry.Completed {
 		return a
--- a/server/entry/metrics.go
+++ b/server/entry/metrics.go
@@ -27,6 +27,21 @@
 	}
 }
 
+// Stages of a call whose time is measured.
+const (
+	stageRate   = "rate"
+	stageBegin  = "begin"
+	stageTarget = "target"
+	stageFinish = "finish"
+)
+
+// stage returns a function that notes the time since the call of stage.
+func (m *callMetrics) stage(name string) func() {
+	start := time.Now()
+	timer := gometrics.GetOrRegisterTimer(metrics.Name("hemlockvale_stage_seconds", "stage", name), m.registry)
+	return func() { timer.UpdateSince(start) }
+}
+
 // answered notes a call that got its answer.
 func (m *callMetrics) answered(c *call) {
 	m.latency.Update(time.Since(c.start))
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -118,7 +118,9 @@
 	if c.open {
 		return nil
 	}
+	done := e.metrics.stage(stageRate)
 	decision, err := e.Limiter.Acquire(ctx, c.organisation(), c.profile.Name, 1)
+	done()
 	if err != nil {
 		return newProblem("limiter_unavailable", ExecutedNo, "%v", err).retry(time.Second)
 	}
@@ -132,6 +134,7 @@
 // begin takes the program's turn. It returns a stored answer when the request
 // is a retry whose outcome is known.
 func (e *Entry) begin(ctx context.Context, c *call, b program.BeginCall) (*program.StoredResponse, *Problem) {
+	defer e.metrics.stage(stageBegin)()
 	b.Program.Organisation = c.organisation()
 	b.Key = c.idempotency
 	b.Fingerprint = c.fingerprint
@@ -189,6 +192,7 @@
 	if c.ticket == nil {
 		return nil
 	}
+	defer e.metrics.stage(stageFinish)()
 	f.Ticket = *c.ticket
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
