quorum: cover voters that the settings do not name; reuse the commit buffer

Without the learned address, TestFormReplicateRestart does not converge. AddVoter and Start check their required fields.

--- a/coord/raft/cases_test.go
+++ b/coord/raft/cases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,15 +32,15 @@
 			term := lead.node.Term()
 			s.run(5*time.Second, func() bool { return lead.node.Term() != term })
 			clear(s.cut)
-			s.run(time.Second, func() bool { return false })
+			s.run(time.Second, never)
 			require.Equal(t, term, lead.node.Term())
 		},
 		"voter that was isolated returns without an election": func(t *testing.T, s *simulation, lead, other *replica) {
 			term := lead.node.Term()
 			s.isolate(other.id.Name, true, true)
-			s.run(3*time.Second, func() bool { return false })
+			s.run(3*time.Second, never)
 			s.isolate(other.id.Name, false, false)
-			s.run(2*time.Second, func() bool { return false })
+			s.run(2*time.Second, never)
 			require.Equal(t, term, lead.node.Term())
 			require.Equal(t, lead.id, other.node.Status().Leader)
 		},
@@ -47,25 +48,21 @@
 			lead.paused = true
 			require.True(t, s.run(electionBound, func() bool { return s.leader() != lead }))
 			s.propose(s.leader())
-			s.run(time.Second, func() bool { return false })
+			s.run(time.Second, never)
 			token := s.read(lead)
 			lead.paused = false
-			s.run(time.Second, func() bool { return false })
+			s.run(time.Second, never)
 			require.ErrorIs(t, s.answers[token], ErrNotLeader)
 		},
 		"replica with a lost disk does not vote": func(t *testing.T, s *simulation, lead, other *replica) {
-			for _, r := range s.replicas {
-				if r != lead && r != other {
-					s.crash(r)
-				}
-			}
+			s.crashExcept(lead, other)
 			s.dead[other.id] = true
 			s.crash(other)
 			wiped := s.create(other.id.Name)
 			require.Empty(t, wiped.node.Step(s.now, Receive{Message{Kind: MessageVote, From: lead.id, To: other.id, Term: 99, Index: 99, LogTerm: 99}}))
 			commit := lead.node.Commit()
 			s.propose(lead)
-			s.run(5*time.Second, func() bool { return false })
+			s.run(5*time.Second, never)
 			require.Equal(t, commit, lead.node.Commit())
 			require.Nil(t, s.leader())
 		},
@@ -73,19 +70,15 @@
 			d := s.create("d")
 			s.cut[[2]string{"d", lead.id.Name}] = true
 			s.step(lead, AddMember{Token: 1, Member: Member{ReplicaID: d.id}})
-			s.run(2*time.Second, func() bool { return false })
+			s.run(2*time.Second, never)
 			require.False(t, lead.node.configuration().IsVoter(d.id))
 			s.step(lead, RemoveMember{Token: 2, ID: other.id})
 			require.ErrorIs(t, s.answers[2], ErrChangePending)
 			clear(s.cut)
-			for _, r := range s.replicas[:3] {
-				if r != lead {
-					s.crash(r)
-				}
-			}
+			s.crashExcept(lead, d)
 			commit := lead.node.Commit()
 			s.propose(lead)
-			s.run(time.Second, func() bool { return false })
+			s.run(time.Second, never)
 			require.Equal(t, commit, lead.node.Commit())
 			for _, r := range s.replicas[:3] {
 				if !r.up {
@@ -99,7 +92,7 @@
 			require.Equal(t, Leader, lead.node.Role())
 			require.True(t, s.run(electionBound, func() bool { return s.leader() != nil && s.leader() != lead }))
 			term := s.leader().node.Term()
-			s.run(3*time.Second, func() bool { return false })
+			s.run(3*time.Second, never)
 			require.Equal(t, term, s.leader().node.Term())
 			require.Equal(t, 2, other.node.Status().Committed.Voters())
 		},
@@ -124,12 +117,8 @@
 			require.ErrorIs(t, s.answers[1], ErrChangePending)
 		},
 		"removal that would leave no reachable quorum is refused": func(t *testing.T, s *simulation, lead, other *replica) {
-			for _, r := range s.replicas {
-				if r != lead && r != other {
-					s.crash(r)
-				}
-			}
-			s.run(DefaultElectionTimeoutMax, func() bool { return false })
+			s.crashExcept(lead, other)
+			s.run(DefaultElectionTimeoutMax, never)
 			s.step(lead, RemoveMember{Token: 1, ID: other.id})
 			require.ErrorIs(t, s.answers[1], ErrUnsafeChange)
 		},
@@ -163,7 +152,7 @@
 				s.form("a", "b", "c")
 				require.True(t, s.run(electionBound, func() bool { return s.leader() != nil }))
 				lead := s.leader()
-				s.run(300*time.Millisecond, func() bool { return false })
+				s.run(300*time.Millisecond, never)
 				require.Equal(t, lead, s.leader())
 				other := s.replicas[0]
 				if other == lead {
@@ -175,6 +164,17 @@
 	}
 }
 
+// never lets run use the whole time.
+func never() bool { return false }
+
+func (s *simulation) crashExcept(survivors ...*replica) {
+	for _, r := range s.replicas {
+		if !slices.Contains(survivors, r) {
+			s.crash(r)
+		}
+	}
+}
+
 // withLogs returns a simulation of the voters a, b and c in which only the first
 // ones run, with entries of the given terms behind the initial snapshot.
 func withLogs(t *testing.T, cfg Config, logs ...[]uint64) *simulation {
--- a/coord/raft/leader.go
+++ b/coord/raft/leader.go
@@ -216,7 +216,7 @@
 // because a quorum alone does not protect those from being overwritten.
 func (n *Node) advanceCommit() {
 	c := n.configuration()
-	matches := make([]uint64, 0, len(c.Members))
+	matches := n.matches[:0]
 	for _, m := range c.Members {
 		switch {
 		case m.Learner:
@@ -226,6 +226,7 @@
 			matches = append(matches, n.progress[m.ReplicaID].match)
 		}
 	}
+	n.matches = matches
 	slices.Sort(matches)
 	index := matches[len(matches)-c.Quorum()]
 	if term, ok := n.log.term(index); index <= n.commit || !ok || term != n.hard.Term {
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -128,8 +128,11 @@
 	// The fields below belong to the leader.
 	progress      map[ReplicaID]*progress
 	nextHeartbeat time.Duration
-	termStart     uint64
-	reads         readQueue
+	// termStart is the index of the term's first entry.
+	termStart uint64
+	// matches is reused by advanceCommit.
+	matches []uint64
+	reads   readQueue
 
 	incoming        *incomingSnapshot
 	snapshotPending bool
@@ -167,7 +170,7 @@
 func (n *Node) Step(now time.Duration, ev Event) []Effect {
 	n.now = max(n.now, now)
 	n.effects = nil
-	before := HardState(n.hard)
+	before := n.hard
 	role, leader := n.role, n.leader
 	reason := n.handle(ev)
 	if n.hard != before {
--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -61,9 +61,3 @@
 	}
 	return s
 }
-
-// Entries returns the entries in memory after index, for inspection.
-func (n *Node) Entries(after uint64) []Entry {
-	after = min(max(after, n.log.base.index), n.log.lastIndex())
-	return n.log.between(after, n.log.lastIndex())
-}
--- a/server/quorum/describe.go
+++ b/server/quorum/describe.go
@@ -64,6 +64,7 @@
 	d := Description{
 		Self: q.id, Role: s.Role.String(), Formed: len(s.Configuration.Members) > 0, Term: s.HardState.Term,
 		Commit: s.Commit, Applied: s.Commit, LastIndex: s.LastIndex, SnapshotIndex: s.SnapshotIndex,
+		Members: make([]MemberDescription, 0, len(s.Configuration.Members)),
 	}
 	if !s.Leader.IsZero() {
 		d.Leader = Voter{s.Leader, q.peers.address(s.Leader)}
--- a/server/quorum/loop.go
+++ b/server/quorum/loop.go
@@ -156,7 +156,10 @@
 	case raft.Apply:
 		q.apply(e.Entries)
 	case raft.Restore:
-		return nil, q.restore(e.Snapshot)
+		if err := q.restore(e.Snapshot); err != nil {
+			return nil, err
+		}
+		q.configurationCommitted()
 	case raft.TakeSnapshot:
 		return q.takeSnapshot(), nil
 	case raft.Accepted:
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -167,8 +167,8 @@
 }
 
 func (o *Options) complete() error {
-	if o.Name == "" || o.DataDir == "" || o.StateMachine == nil || o.Dial == nil {
-		return errors.New("quorum: Name, DataDir, StateMachine and Dial are required")
+	if o.Name == "" || o.DataDir == "" || o.RPCAddress == "" || o.StateMachine == nil || o.Dial == nil {
+		return errors.New("quorum: Name, DataDir, RPCAddress, StateMachine and Dial are required")
 	}
 	peers := map[string]string{o.Name: o.RPCAddress}
 	for name, address := range o.Peers {
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -228,7 +228,8 @@
 	c.converge(want)
 }
 
-// Guards against a wiped disk that votes, or forms a second cluster, before an operator adds it.
+// Guards against a wiped disk that votes before an operator adds it, and
+// against a new voter that the others' settings do not name.
 func TestWipedDiskIsReplaced(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
@@ -248,7 +249,10 @@
 	defer cancel()
 	require.NoError(t, lead.AddVoter(ctx, Voter{ReplicaID{Name: "a"}, c.peers["a"]}))
 	require.NoError(t, lead.RemoveVoter(ctx, old))
-	require.Len(t, lead.Describe().Members, 3)
+	c.peers["d"] = c.reserve()
+	c.start("d")
+	require.NoError(t, lead.AddVoter(ctx, Voter{ReplicaID{Name: "d"}, c.peers["d"]}))
+	require.Len(t, lead.Describe().Members, 4)
 	c.converge(want)
 }
 
--- a/server/quorum/requests.go
+++ b/server/quorum/requests.go
@@ -52,6 +52,9 @@
 // call continues an interrupted one. ErrUnknownOutcome means that the change
 // may still take effect.
 func (q *Quorum) AddVoter(ctx context.Context, v Voter) error {
+	if v.Name == "" || v.Address == "" {
+		return errors.New("add voter: name and address are required")
+	}
 	if v.Storage == "" {
 		answer, err := q.peers.hello(ctx, v.Address)
 		if err != nil {
--- a/server/quorum/transport.go
+++ b/server/quorum/transport.go
@@ -123,11 +123,19 @@
 		}
 		if (err == nil) != reachable && ctx.Err() == nil {
 			reachable = err == nil
-			t.q.log.WithFields(logrus.Fields{"event": "quorum_peer", "peer": to.String(), "address": t.address(to), "reachable": reachable}).WithError(err).Info("peer connection changed")
+			t.report(to, err)
 		}
 	}
 }
 
+func (t *transport) report(to ReplicaID, err error) {
+	log := t.q.log.WithFields(logrus.Fields{"event": "quorum_peer", "peer": to.String(), "address": t.address(to), "reachable": err == nil})
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.Info("peer connection changed")
+}
+
 func discard(queue chan raft.Message) int {
 	for n := 0; ; n++ {
 		select {
