raft: combine the writes of a batch in the core and check what is durable

The adapter and the simulation now combine writes with the same function. The simulation checks after each batch that what the core relies on is durable.

--- a/coord/raft/cases_test.go
+++ b/coord/raft/cases_test.go
@@ -315,3 +315,14 @@
 	}
 	return c
 }
+
+// Guards against a combined write that keeps entries which a snapshot replaced.
+func TestCombinePersist(t *testing.T) {
+	first, snapshot, last := Entry{Index: 2}, &Snapshot{}, Entry{Index: 4, Term: 3}
+	got, ok := CombinePersist([]Effect{
+		Persist{HardState: &HardState{Term: 1}, Entries: []Entry{first}}, Send{},
+		Persist{HardState: &HardState{Term: 2}, Snapshot: snapshot, Entries: []Entry{{Index: 4}}}, Persist{Entries: []Entry{last}},
+	})
+	require.True(t, ok)
+	require.Equal(t, Persist{HardState: &HardState{Term: 2}, Entries: []Entry{{Index: 4}, last}, Snapshot: snapshot}, got)
+}
--- a/coord/raft/event.go
+++ b/coord/raft/event.go
@@ -96,6 +96,26 @@
 	Snapshot *Snapshot
 }
 
+// CombinePersist merges the writes of all effects into one; ok is false if
+// there are none. Entries may then repeat an index: the later one is valid.
+func CombinePersist(effects []Effect) (all Persist, ok bool) {
+	for _, e := range effects {
+		p, isPersist := e.(Persist)
+		if !isPersist {
+			continue
+		}
+		ok = true
+		if p.Snapshot != nil {
+			all.Snapshot, all.Entries = p.Snapshot, nil
+		}
+		if p.HardState != nil {
+			all.HardState = p.HardState
+		}
+		all.Entries = append(all.Entries, p.Entries...)
+	}
+	return all, ok
+}
+
 // Send asks for the transmission of a message.
 type Send struct{ Message Message }
 
--- a/coord/raft/sim_test.go
+++ b/coord/raft/sim_test.go
@@ -143,10 +143,11 @@
 		s.crash(r)
 		return
 	}
-	for _, e := range effects {
-		if p, ok := e.(Persist); ok {
-			s.persist(r, p)
-		}
+	if p, ok := CombinePersist(effects); ok {
+		s.persist(r, p)
+	}
+	if r.disk.HardState != r.node.hard || r.last() != r.node.log.lastIndex() {
+		s.fail("%s relies on %v and entry %d, but %v and entry %d are durable", r.id, r.node.hard, r.node.log.lastIndex(), r.disk.HardState, r.last())
 	}
 	for _, e := range effects {
 		if at--; at == 0 {
--- a/server/quorum/loop.go
+++ b/server/quorum/loop.go
@@ -120,25 +120,10 @@
 	return nil
 }
 
-// persist combines the writes of all effects into one.
+// persist makes the writes of all effects durable in one.
 func (q *Quorum) persist(effects []raft.Effect) error {
-	var all raft.Persist
-	any := false
-	for _, e := range effects {
-		p, ok := e.(raft.Persist)
-		if !ok {
-			continue
-		}
-		any = true
-		if p.Snapshot != nil {
-			all.Snapshot, all.Entries = p.Snapshot, nil
-		}
-		if p.HardState != nil {
-			all.HardState = p.HardState
-		}
-		all.Entries = append(all.Entries, p.Entries...)
-	}
-	if !any {
+	all, ok := raft.CombinePersist(effects)
+	if !ok {
 		return nil
 	}
 	defer q.metrics.sync.UpdateSince(time.Now())
