--- a/coord/program/change.go
+++ b/coord/program/change.go
@@ -12,6 +12,8 @@
 	End *End `json:"end,omitempty"`
 	// Released confirms that the targets of an ended program were told to drop its cache.
 	Released *Released `json:"released,omitempty"`
+	// Hold records that a target may hold cache of a program.
+	Hold *Hold `json:"hold,omitempty"`
 	// Drop forgets an ended program.
 	Drop *Drop `json:"drop,omitempty"`
 	// Crash records a crash suspect.
@@ -70,6 +72,15 @@
 	Release uint64 `json:"release"`
 }
 
+// Hold records a target that reported a call after it had been settled without
+// one. Without it the target would keep the program's cache for good.
+type Hold struct {
+	// Program is the program of the call.
+	Program Ref `json:"program"`
+	// Target may hold cache of the program.
+	Target string `json:"target"`
+}
+
 // Drop forgets an ended program.
 type Drop struct {
 	// Program is the ended program.
--- a/coord/program/table.go
+++ b/coord/program/table.go
@@ -69,6 +69,8 @@
 		return t.applyEnd(index, at, c.End)
 	case c.Released != nil:
 		return t.applyReleased(index, c.Released)
+	case c.Hold != nil:
+		return t.applyHold(index, c.Hold)
 	case c.Drop != nil:
 		t.applyDrop(index, c.Drop)
 	case c.Crash != nil:
@@ -276,9 +278,7 @@
 	p.settleRecord(at, s)
 	p.running = nil
 	p.settled = settledCall{s.Sequence, s.Outcome}
-	if s.Target != "" && !slices.Contains(p.targets, s.Target) {
-		p.targets = append(slices.Clip(p.targets), t.intern(s.Target))
-	}
+	t.hold(p, s.Target)
 	if p.ended {
 		p.requestRelease(index)
 		return p
@@ -292,6 +292,26 @@
 	return p
 }
 
+// hold adds a target that may hold cache of the program.
+func (t *Table) hold(p *Program, target string) {
+	if target != "" && !slices.Contains(p.targets, target) {
+		p.targets = append(slices.Clip(p.targets), t.intern(target))
+	}
+}
+
+func (t *Table) applyHold(index uint64, h *Hold) *Program {
+	p := t.programs[h.Program]
+	if p == nil || p.applied >= index {
+		return p
+	}
+	p.applied = index
+	t.hold(p, h.Target)
+	if p.ended && p.running == nil {
+		p.requestRelease(index)
+	}
+	return p
+}
+
 // uncharge replaces a reservation by what was used. Unknown calls are charged
 // their reservation, because they may have used it.
 func (p *Program) uncharge(at time.Duration, s *Settle) {
--- a/coord/program/table_test.go
+++ b/coord/program/table_test.go
@@ -170,6 +170,15 @@
 			require.Zero(t, next.AttainedTokens)
 			require.Empty(t, m.table.History(k.Program))
 		},
+		"a late settlement still names its target": func(t *testing.T, m *machine) {
+			k := m.ticket(keyed("p", "a"))
+			m.finish(k, Unknown, 0)
+			m.end(k.Program)
+			m.apply(Change{Released: &Released{Program: k.Program, Release: m.index}})
+			m.apply(Change{Hold: &Hold{Program: k.Program, Target: "t2"}})
+			release, _ := m.table.Program(k.Program).PendingRelease()
+			require.Equal(t, []string{"t2"}, release.Targets)
+		},
 		"a sub-agent of an ended program is refused": func(_ *testing.T, m *machine) {
 			m.run(keyed("p/a", "a"))
 			m.end(Ref{"org", "p"})
--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -130,15 +131,16 @@
 	return true
 }
 
-// answer answers a call that does not start. The result is remembered for a
-// repetition of the request, which must not start the call after all.
+// answer answers a call that does not start. A refusal is remembered for a
+// repetition of the request, which must not start the call after all; a stored
+// response is found again.
 func (r *Replica) answer(w *waiter, result program.BeginResult) {
-	r.owner.recent.put(w.call.Request, result)
-	if result.Refusal != nil {
-		r.confirmedReply(ReplyBegin{w.id, result})
+	if result.Refusal == nil {
+		r.reply(ReplyBegin{w.id, result})
 		return
 	}
-	r.reply(ReplyBegin{w.id, result})
+	r.owner.recent.put(w.call.Request, result)
+	r.confirmedReply(ReplyBegin{w.id, result})
 }
 
 func (r *Replica) start(w *waiter, b *program.Begin) {
@@ -223,9 +225,15 @@
 	}
 	s, err := r.table.DecideFinish(e.Finish)
 	if s == nil {
+		if errors.Is(err, program.ErrAlreadySettled) && e.Finish.Target != "" {
+			r.propose(program.Change{Hold: &program.Hold{Program: e.Finish.Ticket.Program, Target: e.Finish.Target}})
+		}
 		r.confirmedReply(Reply{ID: e.ID, Err: err})
 		return
 	}
+	if limit := r.table.Program(s.Program).Running().TokenLimit; limit > 0 && s.TokensUsed > limit {
+		r.note(Note{Name: "call_exceeded_reservation", Program: s.Program, Sequence: s.Sequence, Warning: true})
+	}
 	r.propose(program.Change{Settle: s})
 	r.reply(Reply{ID: e.ID})
 	r.wake(s.Program)
