--- a/coord/shard/fault_test.go
+++ b/coord/shard/fault_test.go
@@ -379,12 +379,15 @@
 		return r.Table().Program(program.Ref{Organisation: "org", ID: fmt.Sprintf("%d/%d", index, epoch)}) != nil
 	}
 	step(Assigned{a})
-	first := CopyReceived{Message: Copy{Header: header(1), ID: 1, Start: 10, StartEpoch: 1, Final: true, End: 10}}
+	first := CopyReceived{Message: Copy{Header: header(1), ID: 2, Start: 10, StartEpoch: 1, Final: true, End: 10}}
+	earlier := first
+	earlier.Message.ID = 1
 	step(first)
 	require.Equal(t, OK, status)
 	send(OK, Append{Header: header(1), Previous: 10, PreviousEpoch: 1, Records: begin(11, 1)})
 	send(OK, Append{Header: header(1), Previous: 11, PreviousEpoch: 1, Records: begin(12, 1), Commit: 11})
-	step(first) // delivered again
+	step(first)   // delivered again
+	step(earlier) // delivered late
 	require.True(t, holds(11, 1), "the state after the copy is kept")
 
 	send(Gap, Append{Header: header(2), Previous: 12, PreviousEpoch: 2})
--- a/coord/shard/owner.go
+++ b/coord/shard/owner.go
@@ -48,7 +48,6 @@
 	copy     *outgoingCopy // nil while it follows the log
 
 	number   uint64 // last message sent
-	floor    uint64 // last message before the current copy: answers up to it no longer count
 	inFlight bool
 	sentAt   time.Duration
 	heardAt  time.Duration
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -95,14 +95,15 @@
 }
 
 // answered returns the peer that an answer comes from, or nil if the answer is
-// missing or out of date. After a failure the next attempt waits as if the
+// missing or out of date. An answer to an earlier message remains true: a replica
+// loses records only for a copy, which holds all that were sent before. After a failure the next attempt waits as if the
 // message were still in flight.
 func (r *Replica) answered(from fleet.VMRef, epoch, number uint64, ok bool) *peer {
 	if r.owner == nil || epoch != r.epoch || !ok {
 		return nil
 	}
 	p := r.owner.peer(from)
-	if p == nil || number <= p.floor {
+	if p == nil {
 		return nil
 	}
 	if number == p.number {
@@ -139,7 +140,7 @@
 func (r *Replica) startCopy(p *peer) {
 	p.acked, p.required = 0, false
 	p.copy = &outgoingCopy{}
-	p.floor, p.inFlight = p.number, false
+	p.inFlight = false
 	if !p.lagging {
 		p.lagging, p.lagSince = true, r.now
 	}
--- a/coord/shard/schedule_test.go
+++ b/coord/shard/schedule_test.go
@@ -24,8 +24,9 @@
 // chaos starts calls and faults at random.
 type chaos struct {
 	*world
-	keys  int
-	quiet bool // no more faults
+	keys   int
+	quiet  bool // no more faults
+	silent bool // no more calls
 }
 
 // Guards against acknowledged records that are lost, non-idempotent calls that
@@ -68,6 +69,8 @@
 	w.until(40*time.Second, "three in-sync replicas after the faults", func() bool { return len(w.control.assignment.InSync) == 3 })
 	before := w.clients.completed
 	w.until(20*time.Second, "more turns after the faults", func() bool { return w.clients.completed > before+20 })
+	c.silent = true
+	w.until(20*time.Second, "the end of all calls", func() bool { return len(w.clients.ops) == 0 && len(w.owner().r.owner.running) == 0 })
 	return w.clients.completed
 }
 
@@ -90,6 +93,9 @@
 
 // call starts a random call, or sends an earlier one again through any entry.
 func (c *chaos) call() {
+	if c.silent {
+		return
+	}
 	c.after(time.Duration(c.rng.Int64N(int64(40*time.Millisecond))), c.call)
 	n := c.pick()
 	if n == nil {
--- a/coord/shard/world_test.go
+++ b/coord/shard/world_test.go
@@ -55,6 +55,7 @@
 	simDeath  = 3 * time.Second
 	simPoll   = 500 * time.Millisecond
 	linkDelay = 2 * time.Millisecond
+	lateDelay = time.Second // of a message that is delivered again
 )
 
 func newWorld(t testing.TB, seed uint64, nodes int) *world {
@@ -162,14 +163,13 @@
 		deliver()
 		return
 	}
-	for copies := 1; copies > 0; copies-- {
-		if w.blocked[[2]string{from, to}] || w.rng.Float64() < w.loss {
-			continue
+	for delay := linkDelay; ; delay = lateDelay {
+		if !w.blocked[[2]string{from, to}] && w.rng.Float64() >= w.loss {
+			w.after(linkDelay+time.Duration(w.rng.Int64N(int64(delay))), deliver)
 		}
-		if w.rng.Float64() < w.double {
-			copies++
+		if w.rng.Float64() >= w.double {
+			return
 		}
-		w.after(linkDelay+time.Duration(w.rng.Int64N(int64(linkDelay))), deliver)
 	}
 }
 
