Add operators' target commands, program id rules and the known-red check

A caller whose connection is silent no longer holds its engine: each write to it is bounded by 20 s. Metric names with dots were refused by collectors ("shards.begin" in /metrics); they are exposed with underscores and one prefix.

--- a/cmd/hemlockctl/vm.go
+++ b/cmd/hemlockctl/vm.go
@@ -16,7 +16,7 @@
 			Use: "list", Short: "List all VMs", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				return o.list(cmd, "/v1/admin/vms", "vms", []column{
-					{"ID", "id"}, {"ROLE", "role"}, {"DATA CENTRE", "data_centre"}, {"HTTP", "http_address"}, {"LIVE", "live"}, {"DRAINING", "draining"}, {"SHARDS OWNED", "shards_owned"},
+					{"ID", "id"}, {"ROLE", "role"}, {"DATA CENTRE", "data_centre"}, {"HTTP", "http_address"}, {"LIVE", "live"}, {"DRAINING", "draining"}, {"SHARDS OWNED", "owned_shards"}, {"SHARD COPIES", "shard_copies"},
 				})
 			},
 		},
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -64,11 +64,13 @@
 	if problem == nil {
 		problem = e.resolveModel(c, request)
 	}
+	if problem == nil {
+		problem = c.readIdempotencyKey(r.Header)
+	}
 	if problem != nil {
 		e.refuse(w, c, problem)
 		return
 	}
-	c.idempotency = r.Header.Get(headerIdempotencyKey)
 	c.fingerprint = c.chatFingerprint()
 	c.estimatedTokens = request.reservation(c.profile.Budget.MaxTokens > 0)
 
@@ -79,7 +81,12 @@
 		e.refuse(w, c, problem)
 		return
 	}
-	replay, problem := e.begin(callCtx, c, c.chatProgram(r, request))
+	begin, problem := c.chatProgram(r, request)
+	if problem != nil {
+		e.refuse(w, c, problem)
+		return
+	}
+	replay, problem := e.begin(callCtx, c, begin)
 	switch {
 	case problem != nil:
 		e.refuse(w, c, problem)
@@ -208,15 +215,17 @@
 }
 
 // chatProgram says which program the call belongs to.
-func (c *call) chatProgram(r *http.Request, request *chatRequest) program.BeginCall {
-	if id := r.Header.Get(headerProgram); id != "" {
-		return program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram), Head: request.conversation.head}
+func (c *call) chatProgram(r *http.Request, request *chatRequest) (program.BeginCall, *Problem) {
+	id, named, problem := namedProgram(r.Header)
+	if problem != nil {
+		return program.BeginCall{}, problem
 	}
-	return program.BeginCall{
-		Program: program.Ref{ID: lineageID(c.key.ID, request.conversation)},
-		Lineage: true,
-		Head:    request.conversation.head,
+	begin := program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram), Head: request.conversation.head}
+	if !named {
+		begin.Program.ID = lineageID(c.key.ID, request.conversation)
+		begin.Lineage = true
 	}
+	return begin, nil
 }
 
 func (q *chatRequest) promptTokens() int64 {
@@ -438,6 +447,12 @@
 		if err != nil {
 			return err
 		}
+		if len(data) == 0 {
+			if run.events.keepAlive() != nil {
+				return errCallerGone
+			}
+			continue
+		}
 		if bytes.Equal(data, []byte(doneMarker)) {
 			_, err := run.answer.result()
 			return err
--- a/server/entry/entries.go
+++ b/server/entry/entries.go
@@ -1,11 +1,9 @@
 package entry
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"net/url"
-	"strconv"
 
 	"github.com/gorilla/mux"
 
@@ -89,33 +87,6 @@
 	_, _ = w.Write(history)
 }
 
-// serveClearQuarantine lets an operator run a request again that took targets down.
-func (e *Entry) serveClearQuarantine(w http.ResponseWriter, r *http.Request) {
-	c, problem := e.accept(w, r)
-	token := e.Settings.Control.AdminToken
-	switch {
-	case problem != nil:
-	case token == "":
-		problem = newProblem("not_found", ExecutedNo, "control.admin_token is not set on this entry")
-	case len(c.secrets) == 0 || subtle.ConstantTimeCompare([]byte(c.secrets[0]), []byte(token)) != 1:
-		problem = newProblem("unknown_key", ExecutedNo, "the admin token is not valid")
-	}
-	if problem != nil {
-		e.refuse(w, c, problem)
-		return
-	}
-	fingerprint, err := strconv.ParseUint(mux.Vars(r)["fingerprint"], 16, 64)
-	if err != nil {
-		e.refuse(w, c, newProblem("invalid_request", ExecutedNo, "fingerprint: want 16 hexadecimal digits"))
-		return
-	}
-	if err := e.Programs.ClearQuarantine(r.Context(), mux.Vars(r)["organisation"], fingerprint); err != nil {
-		e.refuse(w, c, newProblem("owner_unavailable", ExecutedUnknown, "%v", err))
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (e *Entry) acceptProgram(w http.ResponseWriter, r *http.Request) (*call, program.Ref, *Problem) {
 	c, problem := e.accept(w, r)
 	if problem == nil {
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -46,6 +46,8 @@
 	Dispatched(id string, tokens int64)
 	Completed(id string, tokens int64, load *target.Load)
 	Failed(id string)
+	Views() []target.View
+	Order(ctx context.Context, id string, o target.Order) error
 }
 
 // Configuration is this VM's copy of the fleet's configuration.
@@ -95,7 +97,9 @@
 	r.HandleFunc("/v1/chat/completions", e.serveChat).Methods(http.MethodPost)
 	r.HandleFunc("/v1/programs/{id:.+}/history", e.serveHistory).Methods(http.MethodGet)
 	r.HandleFunc("/v1/programs/{id:.+}", e.serveEndProgram).Methods(http.MethodDelete)
-	r.HandleFunc("/v1/quarantine/{organisation}/{fingerprint}", e.serveClearQuarantine).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/targets", e.operator(e.serveTargets)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/targets/{id}/orders", e.operator(e.serveOrder)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/quarantine/{organisation}/{fingerprint}", e.operator(e.serveClearQuarantine)).Methods(http.MethodDelete)
 	r.PathPrefix("/services/{service}").HandlerFunc(e.serveService)
 	r.NotFoundHandler = problemHandler("not_found")
 	r.MethodNotAllowedHandler = problemHandler("method_not_allowed")
--- a/server/entry/entry_test.go
+++ b/server/entry/entry_test.go
@@ -42,6 +42,9 @@
 		{"encoded traversal", "GET", "/services/app/status%2f..%2fpickups", "", nil, "invalid_request", 400},
 		{"traversal", "GET", "/services/app/status/../pickups", "", nil, "invalid_request", 400},
 		{"look-alike of an open route", "GET", "/services/app/statusx", "", nil, "missing_key", 401},
+		{"program id with a slash", "POST", "/v1/chat/completions", chatBody, append([]string{"X-Program-Id", "a/b"}, auth...), "invalid_request", 400},
+		{"program id of the derived form", "POST", "/services/app/pickups", "{}", append([]string{"X-Program-Id", "~key-1"}, auth...), "invalid_request", 400},
+		{"oversized idempotency key", "POST", "/services/app/pickups", "{}", append([]string{"Idempotency-Key", strings.Repeat("k", 256)}, auth...), "invalid_request", 400},
 		{"unknown path", "GET", "/v2/x", "", auth, "not_found", 404},
 		{"wrong method", "PATCH", "/v1/entries", "", auth, "method_not_allowed", 405},
 	} {
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -161,8 +161,10 @@
 	return "", false
 }
 
-func (f *fakeTargets) Dispatched(string, int64)              {}
-func (f *fakeTargets) Completed(string, int64, *target.Load) {}
+func (f *fakeTargets) Views() []target.View                              { return nil }
+func (f *fakeTargets) Order(context.Context, string, target.Order) error { return nil }
+func (f *fakeTargets) Dispatched(string, int64)                          {}
+func (f *fakeTargets) Completed(string, int64, *target.Load)             {}
 func (f *fakeTargets) Failed(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/server/entry/lineage.go
+++ b/server/entry/lineage.go
@@ -72,5 +72,5 @@
 func lineageID(keyID string, c conversation) string {
 	d := xxhash.New()
 	_, _ = d.WriteString(keyID)
-	return "lineage-" + strconv.FormatUint(d.Sum64()^c.lineage, 16)
+	return derivedPrefix + "lineage-" + strconv.FormatUint(d.Sum64()^c.lineage, 16)
 }
--- a/server/entry/problem.go
+++ b/server/entry/problem.go
@@ -72,6 +72,7 @@
 	"call_outcome_unknown":   {http.StatusConflict, "The outcome of the same request is unknown"},
 	"request_quarantined":    {http.StatusUnprocessableEntity, "The request has taken targets down"},
 	"idempotency_key_reused": {http.StatusUnprocessableEntity, "The idempotency key was used for another request"},
+	"order_failed":           {http.StatusBadGateway, "The target did not confirm the order"},
 	"internal":               {http.StatusInternalServerError, "Internal error"},
 }
 
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -131,6 +133,44 @@
 	return nil
 }
 
+// programPattern admits ids that are safe in headers, paths and logs. Derived
+// ids start with derivedPrefix, which callers cannot send.
+var programPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+// derivedPrefix marks the ids of programs that their callers did not name.
+const derivedPrefix = "~"
+
+// namedProgram returns the program that the caller named by header. A
+// sub-agent's id is its parent's id, a slash and its own.
+func namedProgram(h http.Header) (id string, named bool, problem *Problem) {
+	id, parent := h.Get(headerProgram), h.Get(headerParentProgram)
+	if id == "" {
+		return "", false, nil
+	}
+	names := []string{id}
+	if parent != "" {
+		names = append(strings.Split(parent, "/"), id)
+	}
+	for _, name := range names {
+		if !programPattern.MatchString(name) {
+			return "", false, newProblem("invalid_request", ExecutedNo, "program id %q: want 1 to 128 letters, digits, '.', '_', ':' or '-'", name)
+		}
+	}
+	return strings.Join(names, "/"), true, nil
+}
+
+// maxKeyLength bounds an idempotency key, which is kept with its record.
+const maxKeyLength = 255
+
+// readIdempotencyKey notes the caller's idempotency key, if there is one.
+func (c *call) readIdempotencyKey(h http.Header) *Problem {
+	c.idempotency = h.Get(headerIdempotencyKey)
+	if len(c.idempotency) > maxKeyLength {
+		return newProblem("invalid_request", ExecutedNo, "%s: at most %d bytes", headerIdempotencyKey, maxKeyLength)
+	}
+	return nil
+}
+
 // begin takes the program's turn. It returns a stored answer when the request
 // is a retry whose outcome is known.
 func (e *Entry) begin(ctx context.Context, c *call, b program.BeginCall) (*program.StoredResponse, *Problem) {
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -8,6 +8,7 @@
 	"path"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
@@ -24,6 +25,8 @@
 	// until its outcome is recorded.
 	maxResponseBytes = 16 << 20
 	chatPath         = "/v1/chat/completions"
+	// storedWriteTimeout bounds the writing of a whole answer to a slow caller.
+	storedWriteTimeout = 2 * time.Minute
 )
 
 // serveService routes a request to a plain service, or to an engine by name.
@@ -147,7 +150,10 @@
 
 // plainCall runs a request of a plain service.
 func (e *Entry) plainCall(w http.ResponseWriter, r *http.Request, c *call, subPath string) {
-	c.idempotency = r.Header.Get(headerIdempotencyKey)
+	if problem := c.readIdempotencyKey(r.Header); problem != nil {
+		e.refuse(w, c, problem)
+		return
+	}
 	c.fingerprint = c.requestFingerprint(r, subPath)
 	callCtx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
@@ -157,7 +163,12 @@
 		e.refuse(w, c, problem)
 		return
 	}
-	if begin, needed := c.plainProgram(r); needed {
+	begin, needed, problem := c.plainProgram(r)
+	if problem != nil {
+		e.refuse(w, c, problem)
+		return
+	}
+	if needed {
 		replay, problem := e.begin(callCtx, c, begin)
 		if problem != nil {
 			e.refuse(w, c, problem)
@@ -211,21 +222,24 @@
 
 // plainProgram says which program the call belongs to, and whether it needs a
 // record at all: an idempotent call outside a program needs none.
-func (c *call) plainProgram(r *http.Request) (program.BeginCall, bool) {
-	if id := r.Header.Get(headerProgram); id != "" && !c.open {
-		return program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram)}, true
+func (c *call) plainProgram(r *http.Request) (begin program.BeginCall, needed bool, problem *Problem) {
+	if !c.open {
+		id, named, problem := namedProgram(r.Header)
+		if problem != nil || named {
+			return program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram)}, named, problem
+		}
 	}
 	if !c.nonIdempotent && c.idempotency == "" {
-		return program.BeginCall{}, false
+		return program.BeginCall{}, false, nil
 	}
 	// The record of a call outside a program lies under an id that its retry finds again.
 	id := "body-" + strconv.FormatUint(c.fingerprint, 16)
 	if c.idempotency != "" {
-		id = "key-" + c.idempotency
+		id = "key-" + strconv.FormatUint(xxhash.Sum64String(c.key.ID+"\x00"+c.idempotency), 16)
 	} else if c.resendUnidentified() {
 		id = "call-" + c.id
 	}
-	return program.BeginCall{Program: program.Ref{ID: id}}, true
+	return program.BeginCall{Program: program.Ref{ID: derivedPrefix + id}}, true, nil
 }
 
 // resendUnidentified says that a retry of the call cannot be told from a new request.
@@ -335,6 +349,7 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(s.Body)))
 	w.WriteHeader(s.Status)
+	defer limitWrite(w, storedWriteTimeout)()
 	// A failed write means that the caller is gone; its retry gets the recorded answer.
 	_, _ = w.Write(s.Body)
 }
--- a/server/entry/sse.go
+++ b/server/entry/sse.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 )
 
 const (
@@ -27,7 +28,8 @@
 	return &eventReader{scanner: s}
 }
 
-// next returns the data of the next event; io.EOF at the end of the stream.
+// next returns the data of the next event; empty for a comment, which engines
+// send as keep-alive; io.EOF at the end of the stream.
 func (r *eventReader) next() ([]byte, error) {
 	var data []byte
 	for r.scanner.Scan() {
@@ -35,6 +37,8 @@
 		switch {
 		case len(line) == 0 && len(data) > 0:
 			return data, nil
+		case bytes.HasPrefix(line, []byte(":")) && len(data) == 0:
+			return nil, nil
 		case bytes.HasPrefix(line, []byte("data:")):
 			if len(data) > 0 {
 				data = append(data, '\n')
@@ -62,7 +66,24 @@
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.w.WriteHeader(http.StatusOK)
 	}
-	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
+	return s.write([]byte("data: "), data, []byte("\n\n"))
+}
+
+// keepAlive shows the caller, and any device between, that the connection lives.
+func (s *eventWriter) keepAlive() error {
+	if !s.started {
+		return nil
+	}
+	return s.write([]byte(": keep-alive\n\n"))
+}
+
+// callerWriteTimeout bounds one write to a caller, so that a caller whose
+// connection went silent does not hold its engine and its program's turn.
+const callerWriteTimeout = 20 * time.Second
+
+func (s *eventWriter) write(parts ...[]byte) error {
+	defer limitWrite(s.w, callerWriteTimeout)()
+	for _, part := range parts {
 		if _, err := s.w.Write(part); err != nil {
 			return err
 		}
@@ -70,6 +91,14 @@
 	return http.NewResponseController(s.w).Flush()
 }
 
+// limitWrite bounds the writes to a caller until the returned function is
+// called. A writer without deadlines, as in tests, is written to all the same.
+func limitWrite(w http.ResponseWriter, limit time.Duration) func() {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(limit))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // fail ends a started stream with a problem.
 func (s *eventWriter) fail(p *Problem) {
 	body, err := json.Marshal(map[string]any{"error": p})
--- a/server/metrics/metrics.go
+++ b/server/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -67,7 +68,17 @@
 		key, value, _ := strings.Cut(part, "=")
 		labels = append(labels, &dto.LabelPair{Name: &key, Value: &value})
 	}
-	return parts[0], labels
+	return exposedName(parts[0]), labels
+}
+
+// namePrefix marks all metrics of the system.
+const namePrefix = "hemlockvale_"
+
+var notNameCharacter = regexp.MustCompile(`[^a-zA-Z0-9_:]`)
+
+// exposedName turns a registry name, which may contain dots, into one that collectors accept.
+func exposedName(name string) string {
+	return namePrefix + strings.TrimPrefix(notNameCharacter.ReplaceAllString(name, "_"), namePrefix)
 }
 
 func convert(m any) (dto.MetricType, *dto.Metric) {
