wal: sync the parents of a new data directory

Without the sync a power failure could remove the whole directory of each replica at once. TestFirstStartIsSynced fails each sync of a first start in turn; with the sync of the parent, of the directory before the identity, or of the directory after it removed, it gets no error.

--- a/server/wal/files.go
+++ b/server/wal/files.go
@@ -114,9 +114,28 @@
 	return f, nil
 }
 
+// makeDir creates a directory and its missing parents durably. Without the sync
+// of the parent, a power failure could remove the whole data directory.
+func (l *Log) makeDir(dir string) error {
+	_, err := os.Stat(dir)
+	if err == nil || !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	parent := filepath.Dir(dir)
+	if err := l.makeDir(parent); err != nil {
+		return err
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return err
+	}
+	return l.syncPath(parent)
+}
+
 // syncDir makes renames durable.
-func (l *Log) syncDir() error {
-	d, err := os.Open(l.dir)
+func (l *Log) syncDir() error { return l.syncPath(l.dir) }
+
+func (l *Log) syncPath(dir string) error {
+	d, err := os.Open(dir)
 	if err != nil {
 		return err
 	}
--- a/server/wal/wal.go
+++ b/server/wal/wal.go
@@ -87,7 +87,7 @@
 
 func (l *Log) open(name string) (Contents, error) {
 	var c Contents
-	if err := os.MkdirAll(l.dir, 0o700); err != nil {
+	if err := l.makeDir(l.dir); err != nil {
 		return c, err
 	}
 	if err := l.acquire(); err != nil {
--- a/server/wal/wal_test.go
+++ b/server/wal/wal_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// Guards against a data directory that vanishes in a power failure because its
+// parent was not synced, and against a first start that cannot be repeated. The
+// n-th sync fails: of the parent, the segment, the directory, the identity and the directory.
+func TestFirstStartIsSynced(t *testing.T) {
+	for n := range 5 {
+		dir := filepath.Join(t.TempDir(), "data")
+		_, _, err := open(dir, "a", func(*os.File) error {
+			if n--; n < 0 {
+				return errInjected
+			}
+			return nil
+		})
+		require.ErrorIs(t, err, errInjected)
+		l, _, err := Open(dir, "a")
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+	}
+	parent := filepath.Join(t.TempDir(), "new")
+	synced := map[string]bool{}
+	l, _, err := open(filepath.Join(parent, "data"), "a", func(f *os.File) error { synced[f.Name()] = true; return nil })
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	require.True(t, synced[parent] && synced[filepath.Dir(parent)] && synced[l.dir], "synced: %v", synced)
+}
+
 // Guards against any difference between what was acknowledged and what is read
 // back. A crash keeps a random part of the bytes behind the last sync.
 func TestMatchesModel(t *testing.T) {
