--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// usualEffects is the capacity for the effects of a proposal with a few peers.
+const usualEffects = 8
+
 // Stored is what a replica reads back from its storage.
 type Stored struct {
 	// HardState is zero in a new replica.
@@ -216,7 +219,12 @@
 	return ""
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if n.effects == nil {
+		n.effects = make([]Effect, 0, usualEffects)
+	}
+	n.effects = append(n.effects, e)
+}
 
 // send completes and emits a message. Term must be set by the caller if it is not the current one.
 func (n *Node) send(to ReplicaID, m Message) {
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -190,7 +190,7 @@
 	require.Eventually(c.t, condition, 10*time.Second, 20*time.Millisecond, what)
 }
 
-// propose retries until a command is certainly committed and returns the number of attempts.
+// propose retries until a command is certainly committed.
 func (c *cluster) propose(command string) {
 	c.eventually(command, func() bool {
 		_, r := c.leader()
@@ -200,6 +200,16 @@
 	})
 }
 
+// proposeMany commits enough commands for a snapshot if n is over 20.
+func (c *cluster) proposeMany(n int) []string {
+	commands := make([]string, n)
+	for i := range commands {
+		commands[i] = fmt.Sprint("command ", i)
+		c.propose(commands[i])
+	}
+	return commands
+}
+
 func (c *cluster) converge(want []string) {
 	for name, r := range c.live {
 		c.eventually(fmt.Sprintf("%s holds %v", name, want), func() bool { return fmt.Sprint(r.state.list()) == fmt.Sprint(want) })
@@ -212,11 +222,7 @@
 func TestFormReplicateRestart(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
-	var want []string
-	for i := range 30 {
-		want = append(want, fmt.Sprint("command ", i))
-		c.propose(want[i])
-	}
+	want := c.proposeMany(30)
 	c.converge(want)
 	for _, name := range []string{"a", "b", "c"} {
 		c.stop(name)
@@ -233,11 +239,7 @@
 func TestWipedDiskIsReplaced(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
-	var want []string
-	for i := range 25 {
-		want = append(want, fmt.Sprint("command ", i))
-		c.propose(want[i])
-	}
+	want := c.proposeMany(25)
 	old := c.live["a"].id
 	c.wipe("a")
 	wiped := c.start("a")
@@ -309,11 +311,7 @@
 func TestForceSingleVoter(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, "a", "b", "c").startAll()
-	var want []string
-	for i := range 25 {
-		want = append(want, fmt.Sprint("command ", i))
-		c.propose(want[i])
-	}
+	want := c.proposeMany(25)
 	c.converge(want)
 	c.wipe("b")
 	c.wipe("c")
