shardhost: release memory with several workers, and bound the wait of a handover

One target that did not answer delayed all releases of the VM. A shard that no replica takes over within 1.5 s serves for 0.5 s before the next attempt, since control's planner may be the one that moves it.

A replica that is not in sync gets a new copy when versions were skipped: it may have left the shard and come back without its records meanwhile.

--- a/coord/shard/owner.go
+++ b/coord/shard/owner.go
@@ -55,8 +55,10 @@
 	lagging  bool
 }
 
-// adoptAssignment brings the list of peers in line with the assignment.
-func (r *Replica) adoptAssignment() {
+// adoptAssignment brings the list of peers in line with the assignment. If
+// versions were skipped, a replica that is not in sync may have left the shard
+// and come back without its records meanwhile; it gets a new copy.
+func (r *Replica) adoptAssignment(skipped bool) {
 	o, a := r.owner, &r.assignment
 	peers := make([]*peer, 0, len(a.Replicas))
 	for _, ref := range members(a) {
@@ -71,6 +73,9 @@
 			}
 		}
 		p.inSync = slices.Contains(a.InSync, ref)
+		if skipped && !p.inSync && p.copy == nil {
+			r.startCopy(p)
+		}
 		p.required = p.required && !p.inSync
 		peers = append(peers, p)
 	}
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -94,10 +94,10 @@
 	}
 }
 
-// answered returns the peer that an answer comes from, or nil if the answer is
-// missing or out of date. An answer to an earlier message remains true: a replica
-// loses records only for a copy, which holds all that were sent before. After a failure the next attempt waits as if the
-// message were still in flight.
+// answered returns the peer that an answer comes from, or nil if there is no
+// answer: the next attempt then waits as if the message were still in flight. An
+// answer to an earlier message remains true, because a replica drops records only
+// for a copy that contains them, or when it leaves the shard.
 func (r *Replica) answered(from fleet.VMRef, epoch, number uint64, ok bool) *peer {
 	if r.owner == nil || epoch != r.epoch || !ok {
 		return nil
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -158,6 +158,7 @@
 	if a.Version < r.version || a.Version <= r.assignment.Version || a.Epoch < r.epoch {
 		return
 	}
+	skipped := a.Version > r.assignment.Version+1
 	r.assignment, r.version = a, a.Version
 	if a.Epoch > r.epoch || a.Owner != r.self {
 		r.resign()
@@ -168,7 +169,7 @@
 		return
 	}
 	if r.owner != nil {
-		r.adoptAssignment()
+		r.adoptAssignment(skipped)
 		return
 	}
 	r.takeOver()
@@ -198,7 +199,7 @@
 	r.applyTo(r.log.last())
 	r.offset = max(r.offset, r.lastRecordTime()-r.now)
 	r.owner = newOwner()
-	r.adoptAssignment()
+	r.adoptAssignment(false)
 	r.note(Note{Name: "shard_takeover", Sequence: r.log.last()})
 	r.propose(program.Change{Barrier: true})
 	r.table.Programs(r.trackTakenOver)
--- a/server/shardhost/api.go
+++ b/server/shardhost/api.go
@@ -28,6 +28,11 @@
 	abandonTimeout = 10 * time.Second
 	// handoverPoll is the time between two looks at the shards that remain.
 	handoverPoll = 20 * time.Millisecond
+	// handoverPatience bounds the time for which a shard waits for its next
+	// owner without serving; control plans every 200 ms and is polled every 500 ms.
+	handoverPatience = 1500 * time.Millisecond
+	// handoverPause is how long a shard that could not move serves before the next attempt.
+	handoverPause = 500 * time.Millisecond
 )
 
 // Begin asks the owner of the program for the program's turn. It repeats the
@@ -201,6 +206,7 @@
 // Handover moves all owned shards to other in-sync replicas before a planned
 // stop. It returns an error if shards remain when ctx ends; they serve again.
 func (h *Host) Handover(ctx context.Context) error {
+	started := time.Now()
 	ticker := time.NewTicker(handoverPoll)
 	defer ticker.Stop()
 	for {
@@ -208,16 +214,16 @@
 		if len(owned) == 0 {
 			return nil
 		}
+		waiting := time.Since(started)%(handoverPatience+handoverPause) < handoverPatience
 		for _, r := range owned {
-			r.post(input{event: shard.HandoverRequest{}})
+			r.post(input{event: shard.HandoverRequest{Cancel: !waiting || ctx.Err() != nil}})
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("handover: %d shards remain: %w", len(owned), ctx.Err())
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			for _, r := range owned {
-				r.post(input{event: shard.HandoverRequest{Cancel: true}})
-			}
-			return fmt.Errorf("handover: %d shards remain: %w", len(owned), ctx.Err())
 		}
 	}
 }
--- a/server/shardhost/duties.go
+++ b/server/shardhost/duties.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
-	"strings"
-
 	"hemlockvale.dev/coord/fleet"
 	"hemlockvale.dev/coord/program"
 	"hemlockvale.dev/coord/shard"
@@ -22,6 +22,8 @@
 	// assignWorkers is the number of proposals under way: after the loss of a VM
 	// all its shards propose at once.
 	assignWorkers = 4
+	// releaseWorkers is the number of releases under way.
+	releaseWorkers = 8
 	// releaseRetryInterval is the time between two attempts to release memory.
 	releaseRetryInterval = time.Second
 	// releaseTimeout bounds one attempt.
@@ -89,26 +91,27 @@
 	release program.Release
 }
 
-// runReleases carries out the releases. One that fails is tried again later,
-// so that an unreachable target does not delay the others.
+// runReleases carries out releases until ctx ends. Several workers share the
+// queue, so that a target that does not answer delays only some of the others.
 func (h *Host) runReleases(ctx context.Context) {
-	var failed []releaseTask
-	ticker := time.NewTicker(releaseRetryInterval)
-	defer ticker.Stop()
+	var workers sync.WaitGroup
+	for range releaseWorkers {
+		workers.Go(func() { h.workReleases(ctx) })
+	}
+	h.repeatReleases(ctx)
+	workers.Wait()
+}
+
+func (h *Host) workReleases(ctx context.Context) {
 	for {
 		select {
 		case t := <-h.releases:
-			if !h.release(ctx, t) {
-				failed = append(failed, t)
+			if h.release(ctx, t) {
+				continue
 			}
-		case <-ticker.C:
-			again := failed
-			failed = nil
-			for _, t := range again {
-				// A shard that moved on is repeated by its new owner.
-				if t.r.owned.Load() != 0 && !h.release(ctx, t) {
-					failed = append(failed, t)
-				}
+			select {
+			case h.retries <- t:
+			case <-ctx.Done():
 			}
 		case <-ctx.Done():
 			return
@@ -116,7 +119,37 @@
 	}
 }
 
+// repeatReleases puts failed releases back into the queue after a while. It
+// never stops to receive, so that the workers cannot wait for it in turn.
+func (h *Host) repeatReleases(ctx context.Context) {
+	var failed, due []releaseTask
+	ticker := time.NewTicker(releaseRetryInterval)
+	defer ticker.Stop()
+	for {
+		var queue chan releaseTask
+		var next releaseTask
+		if len(due) > 0 {
+			queue, next = h.releases, due[0]
+		}
+		select {
+		case queue <- next:
+			due = due[1:]
+		case t := <-h.retries:
+			failed = append(failed, t)
+		case <-ticker.C:
+			due, failed = append(due, failed...), nil
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// release carries out one release. It returns false if it must be repeated here;
+// a shard that moved on is repeated by its new owner.
 func (h *Host) release(ctx context.Context, t releaseTask) bool {
+	if t.r.owned.Load() == 0 {
+		return true
+	}
 	log := h.o.Log.WithFields(map[string]any{
 		"event": "program_release", "organisation": t.release.Program.Organisation, "program": t.release.Program.ID,
 		"targets": strings.Join(t.release.Targets, ","),
--- a/server/shardhost/host.go
+++ b/server/shardhost/host.go
@@ -82,6 +82,7 @@
 
 	assigns  chan assignTask
 	releases chan releaseTask
+	retries  chan releaseTask // failed releases
 	abandons errgroup.Group
 }
 
@@ -113,6 +114,7 @@
 	h := &Host{
 		o: o, start: time.Now(), runners: make(map[int]*runner), metrics: newHostMetrics(o.Metrics),
 		assigns: make(chan assignTask, assignQueue), releases: make(chan releaseTask, releaseQueue),
+		retries: make(chan releaseTask, releaseQueue),
 	}
 	h.abandons.SetLimit(maxAbandons)
 	h.ctx, h.stop = context.WithCancel(context.Background())
