Give the placement policy each organisation's share and entitlement

The policy weighs an organisation's part of all recent tokens against its part of all contracted rates. The part of one organisation is counted by its shard's owner; the sum comes back with each poll (one number each way), so no VM needs every counter.

--- a/coord/ratelimit/owner.go
+++ b/coord/ratelimit/owner.go
@@ -209,6 +209,18 @@
 	return int64(s.usage[organisation].Read(now))
 }
 
+// TotalTokens returns the sum of the decayed counters of all organisations that
+// this VM owns.
+func (o *Owner) TotalTokens(now time.Duration) int64 {
+	sum := 0.0
+	for _, s := range o.shards {
+		for _, c := range s.usage {
+			sum += c.Read(now)
+		}
+	}
+	return int64(sum)
+}
+
 // Counter is a token counter that decays exponentially with HalfLife.
 type Counter struct {
 	value float64
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -127,6 +127,7 @@
 	settle     settling
 	idle       idlePlan
 	lost       []int
+	tokens     tokenSum
 	snapshot   cachedSnapshot
 }
 
@@ -149,6 +150,7 @@
 		clock:     time.Now,
 		forwarder: newForwarder(),
 		tracker:   membership.NewTracker(0),
+		tokens:    tokenSum{owned: make(map[fleet.VMRef]int64)},
 	}, nil
 }
 
@@ -191,6 +193,7 @@
 		c.settle = settling{}
 		c.idle = idlePlan{}
 		c.lost = nil
+		c.tokens = tokenSum{owned: make(map[fleet.VMRef]int64)}
 	}
 	return true
 }
--- a/server/control/plan.go
+++ b/server/control/plan.go
@@ -96,6 +96,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	live := c.tracker.Live(now, refs)
+	c.tokens.retain(live)
 	for ref := range c.condemned {
 		delete(live, ref)
 	}
--- a/server/control/poll.go
+++ b/server/control/poll.go
@@ -33,6 +33,8 @@
 	Revision uint64 `json:"revision"`
 	// Draining asks to move the VM's shards away.
 	Draining bool `json:"draining,omitempty"`
+	// OwnedTokens is the sum of the token counters that the VM owns.
+	OwnedTokens int64 `json:"owned_tokens,omitempty"`
 }
 
 // PollResponse is the answer to control.poll. Without a LeaseMS it renews no lease.
@@ -47,6 +49,8 @@
 	Changes []fleet.Change `json:"changes,omitempty"`
 	// LeaseMS is the lease, in milliseconds from when the poll was sent.
 	LeaseMS int64 `json:"lease_ms,omitempty"`
+	// FleetTokens is the sum of OwnedTokens over all live VMs, from their last polls.
+	FleetTokens int64 `json:"fleet_tokens,omitempty"`
 }
 
 // leaderHint is the data of a not_leader error.
@@ -94,7 +98,42 @@
 	if err := c.registerPolled(ctx, r); err != nil {
 		return nil, err
 	}
-	return c.answer(r.Revision)
+	answer, err := c.answer(r.Revision)
+	if err != nil {
+		return nil, err
+	}
+	answer.FleetTokens = c.fleetTokens(r.VM.VMRef, r.OwnedTokens)
+	return answer, nil
+}
+
+// tokenSum adds up what the live VMs own. It is kept as a running sum, because
+// every poll reads it.
+type tokenSum struct {
+	owned map[fleet.VMRef]int64
+	sum   int64
+}
+
+func (t *tokenSum) set(vm fleet.VMRef, owned int64) {
+	t.sum += owned - t.owned[vm]
+	t.owned[vm] = owned
+}
+
+// retain drops the VMs that are not live.
+func (t *tokenSum) retain(live map[fleet.VMRef]bool) {
+	for vm, owned := range t.owned {
+		if !live[vm] {
+			t.sum -= owned
+			delete(t.owned, vm)
+		}
+	}
+}
+
+// fleetTokens notes a VM's sum and returns that of all live VMs.
+func (c *Control) fleetTokens(vm fleet.VMRef, owned int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens.set(vm, owned)
+	return c.tokens.sum
 }
 
 // observe records a poll. It returns false while changes that treat the VM as
--- a/server/entry/dispatch.go
+++ b/server/entry/dispatch.go
@@ -114,12 +114,14 @@
 	ref := e.programRef(c)
 	candidates := untried(e.Targets.Candidates(c.service.Name, d.model, ref), tried)
 	request := placement.Request{
-		Organisation:       c.organisation(),
-		Program:            ref.ID,
-		PromptTokens:       d.prompt,
-		OrganisationTokens: c.organisationTokens,
-		Priority:           c.profile.Priority,
-		Weights:            placement.Weights(c.profile.Policy),
+		Organisation:            c.organisation(),
+		Program:                 ref.ID,
+		PromptTokens:            d.prompt,
+		OrganisationTokens:      c.organisationTokens,
+		OrganisationShare:       e.organisationShare(c),
+		OrganisationEntitlement: e.entitlements.of(c.state, c.organisation()),
+		Priority:                c.profile.Priority,
+		Weights:                 placement.Weights(c.profile.Policy),
 	}
 	if c.ticket != nil {
 		request.AttainedTokens = c.ticket.AttainedTokens
@@ -140,6 +142,16 @@
 	return decision
 }
 
+// organisationShare is the organisation's part of all recent tokens. The two
+// counters are read at different times, so the part can briefly exceed 1.
+func (e *Entry) organisationShare(c *call) float64 {
+	total := max(e.Configuration.FleetTokens(), c.organisationTokens)
+	if total == 0 {
+		return 0
+	}
+	return float64(c.organisationTokens) / float64(total)
+}
+
 func (e *Entry) programRef(c *call) program.Ref {
 	if c.ticket == nil {
 		return program.Ref{Organisation: c.organisation()}
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -54,6 +54,8 @@
 type Configuration interface {
 	// State returns the configuration, and whether this VM's lease still holds.
 	State() (*fleet.State, bool)
+	// FleetTokens returns the sum of the token counters of all organisations.
+	FleetTokens() int64
 }
 
 // Options are the parts that an entry is assembled from.
@@ -77,6 +79,8 @@
 	active  *activeCalls
 	seed    atomic.Uint64
 
+	entitlements entitlements
+
 	draining atomic.Bool
 	running  sync.WaitGroup
 }
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -45,6 +45,9 @@
 // State implements Configuration.
 func (f *fixture) State() (*fleet.State, bool) { return f.state, f.held.Load() }
 
+// FleetTokens implements Configuration.
+func (f *fixture) FleetTokens() int64 { return 0 }
+
 // Acquire implements Limiter.
 func (f *fixture) Acquire(context.Context, string, string, float64) (limits.Decision, error) {
 	return limits.Decision{Granted: f.granted.Load(), RetryAfter: 1500 * time.Millisecond}, nil
--- a/server/follower/follower.go
+++ b/server/follower/follower.go
@@ -37,6 +37,8 @@
 	Log *logrus.Entry
 	// Updated is called after each successful poll.
 	Updated func(state *fleet.State, leaseUntil time.Time)
+	// OwnedTokens is sent with each poll.
+	OwnedTokens func() int64
 }
 
 // Follower polls control.
@@ -45,6 +47,7 @@
 	state    *fleet.State
 	lease    atomic.Pointer[time.Time]
 	draining atomic.Bool
+	tokens   atomic.Int64
 	leader   atomic.Pointer[string]
 	next     int
 	wake     chan struct{}
@@ -61,6 +64,9 @@
 	return f.state, lease != nil && time.Now().Before(*lease)
 }
 
+// FleetTokens returns the sum of all organisations' token counters, as of the last poll.
+func (f *Follower) FleetTokens() int64 { return f.tokens.Load() }
+
 // Fleet returns the configuration.
 func (f *Follower) Fleet() *fleet.State { return f.state }
 
@@ -96,7 +102,7 @@
 	// before control's own count of it does.
 	sent := time.Now()
 	var answer control.PollResponse
-	request := control.PollRequest{VM: f.o.VM, Revision: f.state.Revision(), Draining: f.draining.Load()}
+	request := control.PollRequest{VM: f.o.VM, Revision: f.state.Revision(), Draining: f.draining.Load(), OwnedTokens: f.o.OwnedTokens()}
 	if err := f.o.Pool.Call(callCtx, address, "control.poll", request, &answer); err != nil {
 		f.o.Log.WithFields(logrus.Fields{"event": "poll_failed", "control": address}).Debug(err)
 		f.leader.Store(nil)
@@ -113,6 +119,7 @@
 	f.leader.Store(&address)
 	until := sent.Add(time.Duration(answer.LeaseMS) * time.Millisecond)
 	f.lease.Store(&until)
+	f.tokens.Store(answer.FleetTokens)
 	f.o.Updated(f.state, until)
 	return max(pollInterval-time.Since(sent), 0)
 }
--- a/server/limits/limits.go
+++ b/server/limits/limits.go
@@ -101,6 +101,14 @@
 	s.Handle(methodRelease, handler(l.releaseLocal))
 }
 
+// OwnedTokens returns the sum of the token counters that this VM owns. The sums
+// of all VMs tell an organisation's share of the fleet.
+func (l *Limits) OwnedTokens() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner.TotalTokens(l.now())
+}
+
 // Acquire asks for n requests of an organisation under a profile. It returns
 // when the owner has decided, when no owner has answered for
 // ratelimit.UnavailableAfter, or when ctx ends. Any error means that nothing
