Accept announcements from the targets' networks only, where they are configured

Whoever can announce a target receives callers' requests, and callers use the same HTTP port. Without the check of the sender or of the announced address TestTargetMessages fails (200 instead of 403 and 400).

--- a/server/targets/announce.go
+++ b/server/targets/announce.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,6 +19,29 @@
 // maxAnnounceBytes bounds the body of an announcement or cache report.
 const maxAnnounceBytes = 4 << 20
 
+// fromTarget refuses messages from outside the targets' networks: whoever can
+// announce a target receives callers' requests.
+func (t *Targets) fromTarget(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !t.inNetworks(r.RemoteAddr) {
+			t.metrics.invalid.Inc(1)
+			t.log.WithFields(logrus.Fields{"event": "sender_rejected", "sender": r.RemoteAddr}).Warn("sender is outside the targets' networks")
+			respond(w, http.StatusForbidden, problem{Code: "sender_not_permitted", Detail: "the sender is outside the targets' networks"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+// inNetworks reports whether an IP:port belongs to the targets' networks.
+func (t *Targets) inNetworks(address string) bool {
+	if len(t.options.Networks) == 0 {
+		return true
+	}
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && slices.ContainsFunc(t.options.Networks, func(n netip.Prefix) bool { return n.Contains(a.Addr().Unmap()) })
+}
+
 // handleAnnounce accepts an announcement from a target.
 func (t *Targets) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	body, err := readBody(w, r)
@@ -23,6 +49,9 @@
 		return
 	}
 	a, err := target.DecodeAnnouncement(body)
+	if err == nil && !t.inNetworks(a.Address) {
+		err = fmt.Errorf("%w: address is outside the targets' networks", target.ErrInvalid)
+	}
 	if err != nil {
 		t.reject(w, "announcement", err)
 		return
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -68,6 +69,9 @@
 	ShardOf func(shards int, organisation, program string) int
 	// Owns returns the epoch under which this VM owns a shard now, by a valid lease.
 	Owns func(shard int) (epoch uint64, ok bool)
+	// Networks are those in which targets run; messages from elsewhere are refused.
+	// None means that every sender is accepted, callers included.
+	Networks []netip.Prefix
 	// Log receives one line for each change of a target.
 	Log *logrus.Entry
 	// Metrics receives the counters; nil means none.
@@ -126,8 +130,8 @@
 
 // Mount adds the HTTP routes that targets call.
 func (t *Targets) Mount(r *mux.Router) {
-	r.HandleFunc("/v1/targets/announce", t.handleAnnounce).Methods(http.MethodPost)
-	r.HandleFunc("/v1/targets/{id}/cache-events", t.handleCacheEvents).Methods(http.MethodPost)
+	r.HandleFunc("/v1/targets/announce", t.fromTarget(t.handleAnnounce)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/targets/{id}/cache-events", t.fromTarget(t.handleCacheEvents)).Methods(http.MethodPost)
 }
 
 // Run forwards, gives orders and lets leases lapse until ctx ends.
--- a/server/targets/targets_test.go
+++ b/server/targets/targets_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -94,8 +96,14 @@
 	t.Parallel()
 	_, nodes := newFleet(t, 1)
 	good := target.Announcement{ID: "e1", Incarnation: "i", Kind: "engine", Service: testService, Address: "127.0.0.1:9", LeaseMS: 3000, Sequence: 1}
-	bad := good
-	bad.Address = "host:9"
+	bad, foreign := good, good
+	bad.Address, foreign.Address = "host:9", "10.0.0.1:9"
+	nodes[0].options.Networks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
+	stranger := httptest.NewRequest(http.MethodPost, "/v1/targets/announce", strings.NewReader("{}"))
+	stranger.RemoteAddr = "192.0.2.1:1234"
+	refusal := httptest.NewRecorder()
+	nodes[0].fromTarget(nodes[0].handleAnnounce)(refusal, stranger)
+	require.Equal(t, http.StatusForbidden, refusal.Code)
 	for _, c := range []struct {
 		path   string
 		body   any
@@ -104,6 +112,7 @@
 		{"/v1/targets/announce", good, http.StatusOK},
 		{"/v1/targets/announce", good, http.StatusOK}, // a duplicate is answered like the first
 		{"/v1/targets/announce", bad, http.StatusBadRequest},
+		{"/v1/targets/announce", foreign, http.StatusBadRequest},
 		{"/v1/targets/announce", "text", http.StatusBadRequest},
 		{"/v1/targets/e1/cache-events", target.CacheReport{Incarnation: "i"}, http.StatusNoContent},
 		{"/v1/targets/e1/cache-events", target.CacheReport{}, http.StatusBadRequest},
