--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// usualEffects is the capacity for the effects of a proposal with a few peers.
+const usualEffects = 8
+
 // Stored is what a replica reads back from its storage.
 type Stored struct {
 	// HardState is zero in a new replica.
@@ -128,8 +131,11 @@
 	// The fields below belong to the leader.
 	progress      map[ReplicaID]*progress
 	nextHeartbeat time.Duration
-	termStart     uint64
-	reads         readQueue
+	// termStart is the index of the term's first entry.
+	termStart uint64
+	// matches is reused by advanceCommit.
+	matches []uint64
+	reads   readQueue
 
 	incoming        *incomingSnapshot
 	snapshotPending bool
@@ -167,7 +173,7 @@
 func (n *Node) Step(now time.Duration, ev Event) []Effect {
 	n.now = max(n.now, now)
 	n.effects = nil
-	before := HardState(n.hard)
+	before := n.hard
 	role, leader := n.role, n.leader
 	reason := n.handle(ev)
 	if n.hard != before {
@@ -213,7 +219,12 @@
 	return ""
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if n.effects == nil {
+		n.effects = make([]Effect, 0, usualEffects)
+	}
+	n.effects = append(n.effects, e)
+}
 
 // send completes and emits a message. Term must be set by the caller if it is not the current one.
 func (n *Node) send(to ReplicaID, m Message) {
--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -94,15 +94,16 @@
 	}
 }
 
-// answered returns the peer that an answer comes from, or nil if the answer is
-// missing or out of date. After a failure the next attempt waits as if the
-// message were still in flight.
+// answered returns the peer that an answer comes from, or nil if there is no
+// answer: the next attempt then waits as if the message were still in flight. An
+// answer to an earlier message remains true, because a replica drops records only
+// for a copy that contains them, or when it leaves the shard.
 func (r *Replica) answered(from fleet.VMRef, epoch, number uint64, ok bool) *peer {
 	if r.owner == nil || epoch != r.epoch || !ok {
 		return nil
 	}
 	p := r.owner.peer(from)
-	if p == nil || number <= p.floor {
+	if p == nil {
 		return nil
 	}
 	if number == p.number {
@@ -139,7 +140,7 @@
 func (r *Replica) startCopy(p *peer) {
 	p.acked, p.required = 0, false
 	p.copy = &outgoingCopy{}
-	p.floor, p.inFlight = p.number, false
+	p.inFlight = false
 	if !p.lagging {
 		p.lagging, p.lagSince = true, r.now
 	}
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -125,7 +125,9 @@
 	condemned  map[fleet.VMRef]bool
 	recreating int // operators' recreations of shards under way
 	settle     settling
+	idle       idlePlan
 	lost       []int
+	tokens     tokenSum
 	snapshot   cachedSnapshot
 }
 
@@ -148,6 +150,7 @@
 		clock:     time.Now,
 		forwarder: newForwarder(),
 		tracker:   membership.NewTracker(0),
+		tokens:    tokenSum{owned: make(map[fleet.VMRef]int64)},
 	}, nil
 }
 
@@ -188,7 +191,9 @@
 		c.tracker = membership.NewTracker(since.Sub(c.start))
 		c.condemned = nil
 		c.settle = settling{}
+		c.idle = idlePlan{}
 		c.lost = nil
+		c.tokens = tokenSum{owned: make(map[fleet.VMRef]int64)}
 	}
 	return true
 }
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -45,6 +45,9 @@
 // State implements Configuration.
 func (f *fixture) State() (*fleet.State, bool) { return f.state, f.held.Load() }
 
+// FleetTokens implements Configuration.
+func (f *fixture) FleetTokens() int64 { return 0 }
+
 // Acquire implements Limiter.
 func (f *fixture) Acquire(context.Context, string, string, float64) (limits.Decision, error) {
 	return limits.Decision{Granted: f.granted.Load(), RetryAfter: 1500 * time.Millisecond}, nil
@@ -161,8 +164,10 @@
 	return "", false
 }
 
-func (f *fakeTargets) Dispatched(string, int64)              {}
-func (f *fakeTargets) Completed(string, int64, *target.Load) {}
+func (f *fakeTargets) Views() []target.View                              { return nil }
+func (f *fakeTargets) Order(context.Context, string, target.Order) error { return nil }
+func (f *fakeTargets) Dispatched(string, int64)                          {}
+func (f *fakeTargets) Completed(string, int64, *target.Load)             {}
 func (f *fakeTargets) Failed(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
