Close idle RPC connections

Each open connection costs two pings a second for good; at 2,500 VMs most pairs talk rarely. A connection without a call for 10 s is closed.

--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -30,10 +30,15 @@
 
 // Call sends one request to address and waits for its answer.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := p.connect(ctx, address)
+	pe, err := p.peer(address)
 	if err != nil {
 		return err
 	}
+	conn, err := pe.acquire(ctx, p.dialTimeout)
+	if err != nil {
+		return err
+	}
+	defer pe.release()
 	waiter, err := conn.DispatchCall(ctx, method, params)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		return fmt.Errorf("%s: %w", address, ErrUnreachable)
@@ -61,10 +66,10 @@
 	return errors.Join(errs...)
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (p *Pool) peer(address string) (*peer, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
 		return nil, fmt.Errorf("%s: %w: pool closed", address, ErrUnreachable)
 	}
 	pe := p.peers[address]
@@ -72,8 +77,7 @@
 		pe = &peer{address: address}
 		p.peers[address] = pe
 	}
-	p.mu.Unlock()
-	return pe.connect(ctx, p.dialTimeout)
+	return pe, nil
 }
 
 type caller struct {
@@ -90,11 +94,14 @@
 type peer struct {
 	address string
 
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	calls    int // calls under way
+	lastCall time.Time
 }
 
-func (p *peer) connect(ctx context.Context, timeout time.Duration) (*jsonrpc2.Conn, error) {
+// acquire returns a live connection and counts a call on it.
+func (p *peer) acquire(ctx context.Context, timeout time.Duration) (*jsonrpc2.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil {
@@ -102,6 +109,7 @@
 		case <-p.conn.DisconnectNotify():
 			p.conn = nil
 		default:
+			p.calls++
 			return p.conn, nil
 		}
 	}
@@ -111,10 +119,33 @@
 		return nil, fmt.Errorf("%s: %w: %w", p.address, ErrUnreachable, err)
 	}
 	p.conn = jsonrpc2.NewConn(context.Background(), newStream(c), rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
-	go heartbeat(p.conn)
+	go p.heartbeat(p.conn)
+	p.calls++
 	return p.conn, nil
 }
 
+// release ends a call that acquire counted.
+func (p *peer) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls--
+	p.lastCall = time.Now()
+}
+
+// closeIdle closes the connection when no call has used it for IdleTimeout.
+func (p *peer) closeIdle(conn *jsonrpc2.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls > 0 || time.Since(p.lastCall) < IdleTimeout {
+		return false
+	}
+	if p.conn == conn {
+		p.conn = nil
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (p *peer) close() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,7 +157,7 @@
 
 // heartbeat keeps bytes flowing in both directions; the read deadline of the
 // stream closes the connection when the answers stop.
-func heartbeat(conn *jsonrpc2.Conn) {
+func (p *peer) heartbeat(conn *jsonrpc2.Conn) {
 	ticker := time.NewTicker(PingInterval)
 	defer ticker.Stop()
 	for {
@@ -134,6 +165,9 @@
 		case <-conn.DisconnectNotify():
 			return
 		case <-ticker.C:
+			if p.closeIdle(conn) {
+				return
+			}
 			// The answer only has to arrive, so nobody waits for it.
 			ctx, cancel := context.WithTimeout(context.Background(), SilenceTimeout)
 			waiter, err := conn.DispatchCall(ctx, pingMethod, nil)
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -20,6 +20,9 @@
 	PingInterval = 500 * time.Millisecond
 	// SilenceTimeout is how long a connection may deliver nothing before it is closed.
 	SilenceTimeout = 2 * time.Second
+	// IdleTimeout closes a connection that carried no call for so long. With
+	// thousands of VMs most pairs talk rarely, and each open connection costs pings.
+	IdleTimeout = 10 * time.Second
 	// pingMethod is answered by every server.
 	pingMethod = "rpc.ping"
 	// handlerErrorCode marks an error that a handler returned as *Error.
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -101,6 +101,25 @@
 	require.NoError(t, pool.Call(t.Context(), l.Addr().String(), "echo", 1, nil))
 }
 
+// Guards against connections that nobody uses but that cost pings for good, and
+// against a call that is cut because its connection carried no other.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	address := startServer(t)
+	pool := NewPool(time.Second)
+	defer pool.Close()
+	require.NoError(t, pool.Call(t.Context(), address, "echo", 1, nil))
+	pe, err := pool.peer(address)
+	require.NoError(t, err)
+	conn := pe.conn
+	pe.lastCall = time.Now().Add(-IdleTimeout)
+	pe.calls = 1
+	require.False(t, pe.closeIdle(conn))
+	pe.calls = 0
+	require.True(t, pe.closeIdle(conn))
+	<-conn.DisconnectNotify()
+	require.NoError(t, pool.Call(t.Context(), address, "echo", 1, nil))
+}
+
 func proxy(c net.Conn, address string) {
 	defer c.Close()
 	up, err := net.Dial("tcp", address)
