--- a/coord/target/cacheview.go
+++ b/coord/target/cacheview.go
@@ -34,10 +34,21 @@
 	// next is the sequence number of the next event; 0 before the first one.
 	next    uint64
 	waiting []CacheEvent
+	// updated is when events last arrived; heard says whether any did.
+	updated time.Duration
+	heard   bool
 	// waitingSince is when the oldest of the waiting events arrived.
 	waitingSince time.Duration
 }
 
+// age is the time since events last arrived; math.MaxInt64 when none did.
+func (c *cacheView) age(now time.Duration) time.Duration {
+	if !c.heard {
+		return math.MaxInt64
+	}
+	return now - c.updated
+}
+
 type cachedPrefix struct {
 	tokens int64
 	// distrust is the view's value when the prefix was reported.
@@ -48,6 +59,9 @@
 // for a while; repeated ones and those that come after their gap was given up
 // are dropped.
 func (c *cacheView) add(now time.Duration, events []CacheEvent) {
+	if len(events) > 0 {
+		c.updated, c.heard = now, true
+	}
 	for _, e := range events {
 		if e.Sequence == 0 || e.Sequence < c.next {
 			continue
--- a/coord/target/registry.go
+++ b/coord/target/registry.go
@@ -56,6 +56,8 @@
 	// CachedTokens is the expected length of the program's prefix: the reported
 	// length times the trust in the report.
 	CachedTokens int64
+	// CacheAge is the time since cache events last arrived; very large when none did.
+	CacheAge time.Duration
 	// Suspect marks a target with recent failures.
 	Suspect bool
 	// Usable targets have a lease, do not leave and are not drained.
@@ -284,6 +286,7 @@
 	v.DataCentre, v.Role, v.Fencing = a.DataCentre, a.Role, a.Fencing
 	v.Load, v.ReportAge = r.load, now-r.reportAt
 	v.Outstanding, v.OutstandingTokens = r.work.total()
+	v.CacheAge = r.cache.age(now)
 	v.Suspect, v.Usable, v.Leaving, v.Drained = now < r.suspectUntil, r.usable(now), a.Leaving, r.drained
 }
 
--- a/server/settings/findings.go
+++ b/server/settings/findings.go
@@ -217,6 +217,11 @@
 	if !slices.Contains(s.Deployment.DataCentres, s.VM.DataCentre) {
 		report("vm.data_centre", "%q is not listed in deployment.data_centres", s.VM.DataCentre)
 	}
+	for i, network := range s.Entry.TargetNetworks {
+		if _, err := netip.ParsePrefix(network); err != nil {
+			report(fmt.Sprintf("entry.target_networks.%d", i), "%q is not a network such as 10.0.0.0/8", network)
+		}
+	}
 	owners := make(map[string]string)
 	for _, name := range sortedKeys(s.Control.Members) {
 		path, address := "control.members."+name, s.Control.Members[name]
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"os"
 	"time"
 )
@@ -68,6 +69,9 @@
 type Entry struct {
 	// AddressLifetimeMS is how long callers may keep an answer of GET /v1/entries, in milliseconds.
 	AddressLifetimeMS int64 `json:"address_lifetime_ms"`
+	// TargetNetworks are the networks in which targets run, such as 10.0.0.0/8;
+	// announcements from elsewhere are refused. Empty admits all.
+	TargetNetworks []string `json:"target_networks"`
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 	// CallTimeoutMS bounds a call when its profile sets no bound, in milliseconds.
@@ -87,6 +91,17 @@
 // AddressLifetime returns AddressLifetimeMS as a duration.
 func (e Entry) AddressLifetime() time.Duration { return milliseconds(e.AddressLifetimeMS) }
 
+// Networks returns TargetNetworks, which Load has checked.
+func (e Entry) Networks() []netip.Prefix {
+	var networks []netip.Prefix
+	for _, text := range e.TargetNetworks {
+		if prefix, err := netip.ParsePrefix(text); err == nil {
+			networks = append(networks, prefix)
+		}
+	}
+	return networks
+}
+
 // CallTimeout returns CallTimeoutMS as a duration.
 func (e Entry) CallTimeout() time.Duration { return milliseconds(e.CallTimeoutMS) }
 
--- a/server/settings/settings_test.go
+++ b/server/settings/settings_test.go
@@ -29,6 +29,7 @@
 		{"two faults", `"role": "control", "region": "gulf-plains"`, `"role": "boss", "region": 7`, []string{"2: vm.role: value must be one of 'entry', 'control'", "2: vm.region: got number, want string"}},
 		{"host name", `"127.0.0.1:8001"`, `"localhost:8001"`, []string{"3: vm.http_address: 'localhost:8001' does not match pattern"}},
 		{"impossible address", `"127.0.0.1:8001"`, `"127.0.0.1:80001"`, []string{`3: vm.http_address: "127.0.0.1:80001" is not an IP address and port`}},
+		{"bad network", `"deployment"`, `"entry": {"target_networks": ["10.0.0.0/8", "10/33"]}, "deployment"`, []string{`4: entry.target_networks.1: "10/33" is not a network`}},
 		{"unlisted data centre", `["valley-east"]`, `["elsewhere"]`, []string{`2: vm.data_centre: "valley-east" is not listed`}},
 		{"even quorum", `"control-1": "127.0.0.1:7001"`, `"control-1": "127.0.0.1:7001", "control-2": "127.0.0.1:7001"`, []string{"control.members.control-2: has the address of control-1", "control.members: an even number"}},
 	} {
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -189,7 +189,7 @@
 	return placement.Candidate{
 		ID: v.ID, DataCentre: v.DataCentre, Running: v.Load.Running, Waiting: v.Load.Waiting, MaxBatch: v.Load.MaxBatch,
 		Outstanding: v.Outstanding, OutstandingTokens: v.OutstandingTokens, KVUsed: v.Load.KVUsed, KVCapacity: v.Load.KVCapacity,
-		CachedTokens: v.CachedTokens, ReportAge: v.ReportAge, TokensPerSecond: v.Load.TokensPerSecond, Suspect: v.Suspect,
+		CachedTokens: v.CachedTokens, CacheAge: v.CacheAge, ReportAge: v.ReportAge, TokensPerSecond: v.Load.TokensPerSecond, Suspect: v.Suspect,
 	}
 }
 
