--- a/cmd/e2e/harness_test.go
+++ b/cmd/e2e/harness_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -66,7 +65,7 @@
 	done chan error
 }
 
-func (p *process) start(t *testing.T) {
+func (p *process) start(t testing.TB) {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	require.NoError(t, err)
 	defer log.Close()
@@ -86,7 +85,7 @@
 }
 
 // stop asks for a planned stop and returns the exit error.
-func (p *process) stop(t *testing.T) error {
+func (p *process) stop(t testing.TB) error {
 	p.signal(syscall.SIGTERM)
 	select {
 	case err := <-p.done:
@@ -99,7 +98,7 @@
 
 // fleetUnderTest is a deployment of separate processes.
 type fleetUnderTest struct {
-	t         *testing.T
+	t         testing.TB
 	processes map[string]*process
 	entries   []string
 	admin     *client.Admin
@@ -107,23 +106,33 @@
 }
 
 // startFleet starts 3 control VMs, 3 entries, the engines and a plain service.
-func startFleet(t *testing.T, engines int) *fleetUnderTest {
+func startFleet(t testing.TB, engines int) *fleetUnderTest {
+	return startFleetOf(t, fleetSize{entries: 3, shards: 16, engines: engines})
+}
+
+// fleetSize is the number of entries, shards and engines of a fleet.
+type fleetSize struct{ entries, shards, engines int }
+
+func startFleetOf(t testing.TB, size fleetSize) *fleetUnderTest {
 	dir := t.TempDir()
 	f := &fleetUnderTest{t: t, processes: make(map[string]*process), admin: &client.Admin{Token: adminToken}}
-	addresses := freeAddresses(t, 12)
 	members, https := map[string]string{}, map[string]string{}
 	for i := range 3 {
+		addresses := freeAddresses(t, 2)
 		name := fmt.Sprintf("control-%d", i+1)
-		members[name], https[name] = addresses[2*i], addresses[2*i+1]
-		f.admin.Addresses = append(f.admin.Addresses, addresses[2*i+1])
-		f.entries = append(f.entries, addresses[6+2*i+1])
+		members[name], https[name] = addresses[0], addresses[1]
+		f.admin.Addresses = append(f.admin.Addresses, addresses[1])
 	}
 	for i := range 3 {
-		for role, at := range map[string]int{"control": 2 * i, "entry": 6 + 2*i} {
-			f.add(dir, vmSettings(dir, role, i, addresses[at], addresses[at+1], members, https))
-		}
+		name := fmt.Sprintf("control-%d", i+1)
+		f.add(dir, vmSettings(dir, "control", i, size.shards, members[name], https[name], members, https))
+	}
+	for i := range size.entries {
+		addresses := freeAddresses(t, 2)
+		f.entries = append(f.entries, addresses[1])
+		f.add(dir, vmSettings(dir, "entry", i, size.shards, addresses[0], addresses[1], members, https))
 	}
-	for i := range engines {
+	for i := range size.engines {
 		id := fmt.Sprintf("engine-%d", i+1)
 		f.addTarget(dir, "engine", id, "--fencing", []string{"enforced", "ignored"}[i%2], "--crash-on", poison)
 	}
@@ -136,12 +145,12 @@
 	return f
 }
 
-func vmSettings(dir, role string, i int, rpc, http string, members, https map[string]string) settings.Settings {
+func vmSettings(dir, role string, i, shards int, rpc, http string, members, https map[string]string) settings.Settings {
 	s := settings.Default()
 	centres := []string{"dc-a", "dc-b", "dc-c"}
 	id := fmt.Sprintf("%s-%d", role, i+1)
-	s.VM = settings.VM{ID: id, Role: role, Region: "test", DataCentre: centres[i], RPCAddress: rpc, HTTPAddress: http}
-	s.Deployment.Name, s.Deployment.DataCentres, s.Deployment.Shards = "e2e", centres, 16
+	s.VM = settings.VM{ID: id, Role: role, Region: "test", DataCentre: centres[i%len(centres)], RPCAddress: rpc, HTTPAddress: http}
+	s.Deployment.Name, s.Deployment.DataCentres, s.Deployment.Shards = "e2e", centres, shards
 	s.Control = settings.Control{Members: members, HTTPAddresses: https, DataDir: filepath.Join(dir, id), AdminToken: adminToken}
 	s.Entry.AddressLifetimeMS = lifetimeMS
 	return s
@@ -151,7 +160,6 @@
 	file := filepath.Join(dir, s.VM.ID+".json")
 	data, err := json.Marshal(s)
 	require.NoError(f.t, err)
-	data = bytes.Replace(data, []byte(`,"profile_address":""`), nil, 1)
 	require.NoError(f.t, os.WriteFile(file, data, 0o600))
 	f.processes[s.VM.ID] = &process{
 		name: s.VM.ID, http: s.VM.HTTPAddress, log: filepath.Join(dir, s.VM.ID+".log"),
@@ -338,7 +346,7 @@
 // can be taken by an outgoing connection before the process binds it.
 var nextPort = 20000 + os.Getpid()%10000
 
-func freeAddresses(t *testing.T, n int) []string {
+func freeAddresses(t testing.TB, n int) []string {
 	var addresses []string
 	for len(addresses) < n {
 		nextPort = 20000 + (nextPort+1)%12000
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -74,6 +74,14 @@
 		rpcListener:  rpcListener,
 		httpListener: httpListener,
 	}
+	for name, read := range map[string]func() int64{
+		metrics.Name("rpc_bytes", "connection", "dialled", "direction", "received"):  p.pool.Traffic().Received.Load,
+		metrics.Name("rpc_bytes", "connection", "dialled", "direction", "sent"):      p.pool.Traffic().Sent.Load,
+		metrics.Name("rpc_bytes", "connection", "accepted", "direction", "received"): p.rpc.Traffic().Received.Load,
+		metrics.Name("rpc_bytes", "connection", "accepted", "direction", "sent"):     p.rpc.Traffic().Sent.Load,
+	} {
+		gometrics.NewRegisteredFunctionalGauge(name, p.registry, read)
+	}
 	p.router.Handle("/metrics", metrics.Handler(p.registry)).Methods(http.MethodGet)
 	p.http = &http.Server{Handler: p.router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	return p, nil
--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -14,6 +14,7 @@
 // Pool keeps one connection to each peer and dials again when it fails.
 type Pool struct {
 	dialTimeout time.Duration
+	traffic     Traffic
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -25,6 +26,9 @@
 	return &Pool{dialTimeout: dialTimeout, peers: make(map[string]*peer)}
 }
 
+// Traffic returns the byte counts of the dialled connections.
+func (p *Pool) Traffic() *Traffic { return &p.traffic }
+
 // To returns a caller for one address.
 func (p *Pool) To(address string) Caller { return caller{p, address} }
 
@@ -74,7 +78,7 @@
 	}
 	pe := p.peers[address]
 	if pe == nil {
-		pe = &peer{address: address}
+		pe = &peer{address: address, traffic: &p.traffic}
 		p.peers[address] = pe
 	}
 	return pe, nil
@@ -93,6 +97,7 @@
 // peer is one address and its current connection.
 type peer struct {
 	address string
+	traffic *Traffic
 
 	mu       sync.Mutex
 	conn     *jsonrpc2.Conn
@@ -118,7 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", p.address, ErrUnreachable, err)
 	}
-	p.conn = jsonrpc2.NewConn(context.Background(), newStream(c), rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
+	p.conn = jsonrpc2.NewConn(context.Background(), newStream(c, p.traffic), rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
 	go p.heartbeat(p.conn)
 	p.calls++
 	return p.conn, nil
--- a/server/rpc/server.go
+++ b/server/rpc/server.go
@@ -15,7 +15,8 @@
 
 // Server answers calls on every connection that its listeners accept.
 type Server struct {
-	log *logrus.Entry
+	log     *logrus.Entry
+	traffic Traffic
 
 	mu       sync.Mutex
 	handlers map[string]Handler
@@ -42,6 +43,9 @@
 	s.handlers[method] = h
 }
 
+// Traffic returns the byte counts of the accepted connections.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
 // Serve accepts connections until the listener or the server is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
@@ -81,7 +85,7 @@
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	stream := newStream(c)
+	stream := newStream(c, &s.traffic)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
--- a/server/rpc/stream.go
+++ b/server/rpc/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -27,8 +28,35 @@
 	writeMu sync.Mutex
 }
 
-func newStream(c net.Conn) *stream {
-	return &stream{conn: c, r: bufio.NewReader(deadlineReader{c})}
+func newStream(c net.Conn, t *Traffic) *stream {
+	counted := countedConn{c, t}
+	return &stream{conn: counted, r: bufio.NewReader(deadlineReader{counted})}
+}
+
+// Traffic counts the bytes of all connections of a server or a pool.
+type Traffic struct {
+	// Received and Sent are bytes since the start, heartbeats included.
+	Received, Sent atomic.Int64
+}
+
+// countedConn adds a connection's bytes to a Traffic.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read counts the received bytes.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the sent bytes.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
 }
 
 // WriteObject writes one message with a deadline, so that a peer that stops
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -56,7 +56,7 @@
 	// Members maps names of control VMs to their RPC addresses.
 	Members map[string]string `json:"members"`
 	// HTTPAddresses maps names of control VMs to their HTTP addresses, for forwarding operators to the leader.
-	HTTPAddresses map[string]string `json:"http_addresses"`
+	HTTPAddresses map[string]string `json:"http_addresses,omitempty"`
 	// RecreateLostShards lets control create a shard empty when all its copies are lost.
 	RecreateLostShards bool `json:"recreate_lost_shards"`
 	// DataDir holds all durable state of a control VM.
@@ -71,7 +71,7 @@
 	AddressLifetimeMS int64 `json:"address_lifetime_ms"`
 	// TargetNetworks are the networks in which targets run, such as 10.0.0.0/8;
 	// announcements from elsewhere are refused. Empty admits all.
-	TargetNetworks []string `json:"target_networks"`
+	TargetNetworks []string `json:"target_networks,omitempty"`
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 	// CallTimeoutMS bounds a call when its profile sets no bound, in milliseconds.
@@ -85,7 +85,7 @@
 	// Level is the least severe level that is written.
 	Level string `json:"level"`
 	// ProfileAddress serves net/http/pprof, as IP:port; empty serves none.
-	ProfileAddress string `json:"profile_address"`
+	ProfileAddress string `json:"profile_address,omitempty"`
 }
 
 // AddressLifetime returns AddressLifetimeMS as a duration.
