--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -107,22 +107,24 @@
 	}
 }
 
-// evaluate starts or answers a call; it returns false if the call must wait.
+// evaluate starts or answers a call; it returns false if the call must wait. A
+// call whose runner is gone does not start, but a retry is answered truthfully.
 func (r *Replica) evaluate(w *waiter) bool {
-	if r.gone(w.call.Runner, w.call.Revision) {
-		r.answer(w, program.Refuse(program.CodeRunnerNotRegistered, "VM %s is not registered", w.call.Runner.ID))
-		return true
-	}
 	_, repeated := r.owner.recent.get(w.call.Request)
 	d := r.table.Decide(r.shardTime(), w.call, repeated)
+	gone := r.gone(w.call.Runner, w.call.Revision)
 	switch {
-	case d.Wait:
-		w.retry = d.Retry
-		return false
 	case d.Result != nil:
 		r.answer(w, *d.Result)
 	case d.Ticket != nil:
 		r.giveTicket(w, *d.Ticket, r.log.last(), true)
+	case gone && d.Retry:
+		r.answer(w, program.RefuseWait(true))
+	case gone:
+		r.answer(w, program.Refuse(program.CodeRunnerNotRegistered, "VM %s is not registered", w.call.Runner.ID))
+	case d.Wait:
+		w.retry = d.Retry
+		return false
 	case d.Start.Call.NonIdempotent && !r.sufficient():
 		r.answer(w, insufficient())
 	default:
