--- a/coord/shard/alarm.go
+++ b/coord/shard/alarm.go
@@ -72,7 +72,7 @@
 	p.Alarm = 0
 	if run := p.Running(); run != nil {
 		r.owner.running[p.Ref()] = run.Sequence
-		r.owner.recent.put(run.Request, answeredBefore())
+		r.recent.put(run.Request, answeredBefore())
 	}
 	r.setAlarm(p)
 }
--- a/coord/shard/calls.go
+++ b/coord/shard/calls.go
@@ -83,13 +83,13 @@
 	for _, w := range r.owner.waiters.expired(now) {
 		r.answer(w, program.RefuseWait(w.retry))
 	}
-	r.owner.recent.rotate(now)
+	r.recent.rotate(now)
 }
 
 func (r *Replica) begin(e BeginRequest) {
 	o := r.owner
-	if result, ok := o.recent.get(e.Call.Request); ok && r.table.FindRequest(e.Call.Program, e.Call.Lineage, e.Call.Request) == nil {
-		r.reply(ReplyBegin{e.ID, result})
+	if result, ok := r.recent.get(e.Call.Request); ok && r.table.FindRequest(e.Call.Program, e.Call.Lineage, e.Call.Request) == nil {
+		r.confirmedReply(ReplyBegin{e.ID, r.answerAgain(&e.Call, result)})
 		return
 	}
 	if w := o.waiters.find(e.Call.Program, e.Call.Request); w != nil {
@@ -110,7 +110,7 @@
 // evaluate starts or answers a call; it returns false if the call must wait. A
 // call whose runner is gone does not start, but a retry is answered truthfully.
 func (r *Replica) evaluate(w *waiter) bool {
-	_, repeated := r.owner.recent.get(w.call.Request)
+	_, repeated := r.recent.get(w.call.Request)
 	d := r.table.Decide(r.shardTime(), w.call, repeated)
 	gone := r.gone(w.call.Runner, w.call.Revision)
 	switch {
@@ -133,21 +133,36 @@
 	return true
 }
 
-// answer answers a call that does not start. A refusal is remembered for a
-// repetition of the request, which must not start the call after all; a stored
-// response is found again.
+// answer answers a call that does not start. The result is remembered for a
+// repetition of the request, which must not start the call after all.
 func (r *Replica) answer(w *waiter, result program.BeginResult) {
+	r.recent.put(w.call.Request, result)
 	if result.Refusal == nil {
 		r.reply(ReplyBegin{w.id, result})
 		return
 	}
-	r.owner.recent.put(w.call.Request, result)
 	r.confirmedReply(ReplyBegin{w.id, result})
 }
 
+// answerAgain returns the answer to a request that was answered before. The
+// first answer counts, except that a refusal as not run must still be true: an
+// equal request may have run meanwhile.
+func (r *Replica) answerAgain(c *program.BeginCall, first program.BeginResult) program.BeginResult {
+	if first.Refusal == nil || first.Refusal.Executed != program.ExecutedNo {
+		return first
+	}
+	switch d := r.table.Decide(r.shardTime(), *c, true); {
+	case d.Result != nil:
+		return *d.Result
+	case d.Retry:
+		return program.RefuseWait(true)
+	}
+	return first
+}
+
 func (r *Replica) start(w *waiter, b *program.Begin) {
 	index := r.propose(program.Change{Begin: b})
-	r.owner.recent.put(b.Call.Request, answeredBefore())
+	r.recent.put(b.Call.Request, answeredBefore())
 	r.giveTicket(w, *r.table.Ticket(b.ResolvedRef(index)), index, false)
 }
 
@@ -181,10 +196,10 @@
 	case running && (p.repeated || !p.call.NonIdempotent || r.sufficient()):
 		return true
 	case running:
-		r.owner.recent.put(p.call.Request, insufficient())
+		r.recent.put(p.call.Request, insufficient())
 		r.abort(prog, program.NotRun)
 	}
-	result, ok := r.owner.recent.get(p.call.Request)
+	result, ok := r.recent.get(p.call.Request)
 	if !ok {
 		result = answeredBefore()
 	}
@@ -216,7 +231,7 @@
 	if p := r.table.FindRequest(e.Program, e.Lineage, e.Request); p != nil {
 		r.abort(p, program.NotRun)
 	}
-	o.recent.put(e.Request, answeredBefore())
+	r.recent.put(e.Request, answeredBefore())
 	r.reply(Reply{ID: e.ID})
 }
 
--- a/coord/shard/owner.go
+++ b/coord/shard/owner.go
@@ -16,7 +16,6 @@
 	waiters waitList
 	running map[program.Ref]uint64 // running calls by program: their sequence
 	alarms  alarmHeap
-	recent  requestMemory
 	copies  uint64 // number of copies started
 	frozen  bool   // a handover is under way: nothing is proposed
 }
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -77,6 +77,8 @@
 	ahead    uint64 // the table may contain effects of records up to here
 	incoming *incomingCopy
 
+	recent requestMemory // outlives an ownership: late messages can find the next one
+
 	owner     *owner // nil unless this replica owns the shard
 	out       []Effect
 	partBytes int           // size of a part of a copy
--- a/server/shardhost/cluster_test.go
+++ b/server/shardhost/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -59,9 +60,11 @@
 	for i, id := range ids {
 		c.start(id, fmt.Sprintf("dc-%d", i%3))
 	}
-	refs := c.refs(ids...)
 	for s := range shards {
-		rotated := append(append([]fleet.VMRef{}, refs[s%len(refs):]...), refs[:s%len(refs)]...)
+		var rotated []fleet.VMRef
+		for i := range ids {
+			rotated = append(rotated, c.nodes[ids[(s+i)%len(ids)]].vm.VMRef)
+		}
 		c.state.assignments = append(c.state.assignments, fleet.Assignment{
 			Shard: s, Epoch: 1, Version: 1, Owner: rotated[0], InSync: rotated[:1], Replicas: rotated[:min(3, len(rotated))],
 		})
@@ -126,53 +129,17 @@
 	dead := func(ref fleet.VMRef) bool { return ref.ID == id }
 	for i := range c.state.assignments {
 		a := &c.state.assignments[i]
-		if !contains(a.Replicas, c.vm(id).VMRef) {
-			continue
-		}
-		a.InSync, a.Replicas = without(a.InSync, dead), without(a.Replicas, dead)
+		a.InSync, a.Replicas = slices.DeleteFunc(slices.Clone(a.InSync), dead), slices.DeleteFunc(slices.Clone(a.Replicas), dead)
 		a.Version++
-		if a.Owner.ID == id {
+		if dead(a.Owner) {
 			a.Owner = a.InSync[0]
 			a.Epoch++
 		}
 	}
-	var vms []fleet.VM
-	for _, vm := range c.state.vms {
-		if vm.ID != id {
-			vms = append(vms, vm)
-		}
-	}
-	c.state.vms = vms
+	c.state.vms = slices.DeleteFunc(slices.Clone(c.state.vms), func(vm fleet.VM) bool { return vm.ID == id })
 	c.state.revision++
 }
 
-func (c *cluster) vm(id string) fleet.VM {
-	for _, vm := range c.state.vms {
-		if vm.ID == id {
-			return vm
-		}
-	}
-	return fleet.VM{}
-}
-
-func without(refs []fleet.VMRef, drop func(fleet.VMRef) bool) []fleet.VMRef {
-	var out []fleet.VMRef
-	for _, r := range refs {
-		if !drop(r) {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-func (c *cluster) refs(ids ...string) []fleet.VMRef {
-	var out []fleet.VMRef
-	for _, id := range ids {
-		out = append(out, c.nodes[id].vm.VMRef)
-	}
-	return out
-}
-
 // Call answers control.assign with a compare-and-set on the version.
 func (c *cluster) Call(_ context.Context, method string, params, _ any) error {
 	a := params.(fleet.Assignment)
@@ -196,7 +163,7 @@
 func (c *cluster) update() {
 	c.mu.Lock()
 	s := c.state
-	s.assignments = append([]fleet.Assignment{}, s.assignments...)
+	s.assignments = slices.Clone(s.assignments)
 	var hosts []*Host
 	for _, n := range c.nodes {
 		if !n.paused {
