Hold answers within the reserved tokens; tell the policy where a program ran last

The owner returns with each ticket how many tokens and seconds are left for the call; the entry bounds max_tokens and the time limit by them.

--- a/coord/program/image.go
+++ b/coord/program/image.go
@@ -24,6 +24,7 @@
 	Head        uint64        `json:"head,omitempty"`
 	History     []byte        `json:"history,omitempty"`
 	Targets     []string      `json:"targets,omitempty"`
+	LastCall    LastCall      `json:"last_call,omitzero"`
 	Running     *Running      `json:"running,omitempty"`
 	Records     []callRecord  `json:"records,omitempty"`
 	Settled     settledCall   `json:"settled,omitzero"`
@@ -88,7 +89,7 @@
 	i := Image{
 		Ref: p.ref, Generation: p.generation, Applied: p.applied, Budget: p.budget, Calls: p.calls, Tokens: p.tokens,
 		Reserved: p.reserved, FirstCall: p.firstCall, LastActive: p.lastActive, IdleTimeout: p.idleTimeout,
-		KeepUntil: p.keepUntil, Head: p.head, History: slices.Clone(p.history), Targets: slices.Clone(p.targets),
+		KeepUntil: p.keepUntil, Head: p.head, History: slices.Clone(p.history), Targets: slices.Clone(p.targets), LastCall: p.lastCall,
 		Settled: p.settled, Children: p.children, Ended: p.ended, EndedAt: p.endedAt,
 		Release: p.release, Releasing: slices.Clone(p.releasing),
 	}
@@ -108,7 +109,7 @@
 		p := &Program{
 			ref: i.Ref, generation: i.Generation, applied: i.Applied, budget: i.Budget, calls: i.Calls, tokens: i.Tokens,
 			reserved: i.Reserved, firstCall: i.FirstCall, lastActive: i.LastActive, idleTimeout: i.IdleTimeout,
-			keepUntil: i.KeepUntil, head: i.Head, history: i.History, targets: i.Targets, running: i.Running,
+			keepUntil: i.KeepUntil, head: i.Head, history: i.History, targets: i.Targets, lastCall: i.LastCall, running: i.Running,
 			settled: i.Settled, children: i.Children, ended: i.Ended, endedAt: i.EndedAt,
 			release: i.Release, releasing: i.Releasing,
 		}
--- a/coord/program/program.go
+++ b/coord/program/program.go
@@ -28,6 +28,7 @@
 	head        uint64
 	history     []byte
 	targets     []string
+	lastCall    LastCall
 	running     *Running
 	records     []*callRecord
 	settled     settledCall
--- a/coord/program/table.go
+++ b/coord/program/table.go
@@ -279,6 +279,9 @@
 	p.running = nil
 	p.settled = settledCall{s.Sequence, s.Outcome}
 	t.hold(p, s.Target)
+	if s.Outcome == Completed && s.Target != "" {
+		p.lastCall = LastCall{Target: t.intern(s.Target), Tokens: s.TokensUsed, Ended: at}
+	}
 	if p.ended {
 		p.requestRelease(index)
 		return p
@@ -397,8 +400,12 @@
 // ticket returns the ticket of the call that has the program's turn.
 func (p *Program) ticket() *Ticket {
 	r := p.running
+	since := time.Duration(0)
+	if p.lastCall.Target != "" {
+		since = r.Begun - p.lastCall.Ended
+	}
 	return &Ticket{
-		Sequence: r.Sequence, Program: p.ref, AttainedTokens: p.tokens, Targets: slices.Clone(p.targets),
+		LastCall: p.lastCall, SinceLastCall: since, Sequence: r.Sequence, Program: p.ref, AttainedTokens: p.tokens, Targets: slices.Clone(p.targets),
 		TokenLimit: r.TokenLimit, TimeLimit: r.Timeout,
 	}
 }
--- a/coord/program/types.go
+++ b/coord/program/types.go
@@ -65,6 +65,10 @@
 	AttainedTokens int64 `json:"attained_tokens"`
 	// Targets hold cache of the program.
 	Targets []string `json:"targets,omitempty"`
+	// LastCall is the program's last completed call on an engine.
+	LastCall LastCall `json:"last_call,omitzero"`
+	// SinceLastCall is the time between the end of that call and the ticket.
+	SinceLastCall time.Duration `json:"since_last_call,omitempty"`
 	// TokenLimit is the number of tokens that were reserved for the call and that it
 	// must not exceed; 0 means that the budget does not bound tokens.
 	TokenLimit int64 `json:"token_limit,omitempty"`
@@ -73,6 +77,16 @@
 	TimeLimit time.Duration `json:"time_limit,omitempty"`
 }
 
+// LastCall says where a program's prefix was cached last.
+type LastCall struct {
+	// Target ran the call.
+	Target string `json:"target,omitempty"`
+	// Tokens is the length of prompt and answer, which the target then held.
+	Tokens int64 `json:"tokens,omitempty"`
+	// Ended is the shard time of the call's end.
+	Ended time.Duration `json:"ended,omitempty"`
+}
+
 // Outcome is how a call ended.
 type Outcome string
 
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -95,10 +95,33 @@
 		replayChat(w, request.stream, replay)
 		e.metrics.answered(c)
 	default:
+		if problem := request.limitTokens(c.ticket.TokenLimit); problem != nil {
+			// A failed record leaves the call to the owner, which settles it by its time limit.
+			_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
+			e.refuse(w, c, problem)
+			return
+		}
 		e.runChat(callCtx, w, r, c, request)
 	}
 }
 
+// limitTokens bounds the answer by what the program's budget has reserved.
+func (q *chatRequest) limitTokens(limit int64) *Problem {
+	if limit == 0 {
+		return nil
+	}
+	left := limit - q.promptTokens()
+	if left < 1 {
+		return newProblem("budget_exhausted", ExecutedNo, "%d tokens are left, fewer than the prompt may take", limit)
+	}
+	if q.maxTokens == 0 || q.maxTokens > left {
+		q.maxTokens = left
+	}
+	q.fields["max_tokens"] = json.RawMessage(fmt.Sprint(q.maxTokens))
+	delete(q.fields, "max_completion_tokens")
+	return nil
+}
+
 func parseChat(body []byte) (*chatRequest, *Problem) {
 	request := &chatRequest{}
 	if err := json.Unmarshal(body, &request.fields); err != nil {
@@ -235,7 +258,6 @@
 func (q *chatRequest) reservation(budgeted bool) int64 {
 	if q.maxTokens == 0 && budgeted {
 		q.maxTokens = defaultMaxTokens
-		q.fields["max_tokens"] = json.RawMessage(fmt.Sprint(defaultMaxTokens))
 	}
 	return q.promptTokens() + q.maxTokens
 }
@@ -277,7 +299,7 @@
 // runChat dispatches the call, streams it, and records the outcome before the
 // caller gets the end of the answer.
 func (e *Entry) runChat(callCtx context.Context, w http.ResponseWriter, r *http.Request, c *call, request *chatRequest) {
-	ctx, stop := context.WithTimeoutCause(callCtx, e.callTimeout(c), errCallTimeout)
+	ctx, stop := context.WithTimeoutCause(callCtx, e.timeLimit(c), errCallTimeout)
 	defer stop()
 	run := &chatRun{entry: e, call: c, request: request, header: r.Header, events: &eventWriter{w: w}}
 	result := e.execute(ctx, c, dispatch{
--- a/server/entry/entry_test.go
+++ b/server/entry/entry_test.go
@@ -313,6 +313,37 @@
 	require.Contains(t, readAll(t, streamed.Body), `"content":"x"`)
 }
 
+// Guards against an answer that is longer than the program's budget has reserved for it.
+func TestAnswerStaysWithinTheReservation(t *testing.T) {
+	prompt := int64(len(`[{"role":"user","content":"hello"}]`)/bytesPerToken + 1)
+	for _, c := range []struct {
+		limit int64
+		asked string
+		want  string
+	}{
+		{0, `,"max_tokens":50`, `"max_tokens":50`},
+		{prompt + 20, `,"max_tokens":50`, `"max_tokens":20`},
+		{prompt + 20, `,"max_completion_tokens":50`, `"max_tokens":20`},
+		{prompt + 20, ``, `"max_tokens":20`},
+		{prompt, ``, ""},
+	} {
+		var seen string
+		f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+			seen = readAll(t, r.Body)
+			streaming(true, "x")(w, r)
+		})
+		f.records.limit = c.limit
+		resp := f.authorized("POST", "/v1/chat/completions", strings.Replace(chatBody, `"m1"`, `"m1"`+c.asked, 1))
+		if c.want == "" {
+			require.Equal(t, "budget_exhausted", f.problem(resp).Code)
+			require.Equal(t, program.NotRun, f.records.settled()[0].Outcome)
+			continue
+		}
+		readAll(t, resp.Body)
+		require.Contains(t, seen, c.want)
+	}
+}
+
 // Guards against input that panics the parser or a head that depends on white space.
 func FuzzParseChat(f *testing.F) {
 	f.Add([]byte(chatBody))
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -182,6 +182,7 @@
 	replay   *program.StoredResponse
 	refusal  *program.Refusal
 	crashes  map[uint64]int
+	limit    int64 // of the tokens of each ticket
 }
 
 func (f *fakePrograms) Begin(_ context.Context, c program.BeginCall) (program.BeginResult, error) {
@@ -191,7 +192,7 @@
 	if f.replay != nil || f.refusal != nil {
 		return program.BeginResult{Replay: f.replay, Refusal: f.refusal}, nil
 	}
-	return program.BeginResult{Ticket: &program.Ticket{Program: c.Program, Sequence: uint64(len(f.begun))}}, nil
+	return program.BeginResult{Ticket: &program.Ticket{Program: c.Program, TokenLimit: f.limit, Sequence: uint64(len(f.begun))}}, nil
 }
 
 func (f *fakePrograms) Finish(_ context.Context, c program.FinishCall) error {
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -264,6 +264,15 @@
 	return e.Settings.Entry.CallTimeout()
 }
 
+// timeLimit is the call's time limit, bounded by the rest of the program's seconds.
+func (e *Entry) timeLimit(c *call) time.Duration {
+	limit := e.callTimeout(c)
+	if c.ticket != nil && c.ticket.TimeLimit > 0 {
+		limit = min(limit, c.ticket.TimeLimit)
+	}
+	return limit
+}
+
 // resendWindow returns 0 when nothing identifies a retry of the call.
 func (e *Entry) resendWindow(c *call) time.Duration {
 	byBody := c.nonIdempotent && (c.open || c.profile.Resend.Identify == identifyBody)
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -217,7 +217,7 @@
 	if c.nonIdempotent {
 		parent = context.WithoutCancel(callCtx)
 	}
-	return context.WithTimeoutCause(parent, e.callTimeout(c), errCallTimeout)
+	return context.WithTimeoutCause(parent, e.timeLimit(c), errCallTimeout)
 }
 
 // plainProgram says which program the call belongs to, and whether it needs a
