Send a heartbeat to idle shard replicas every 4 s instead of 500 ms

Cause: BenchmarkIdleFleet, 3 entries and 64 shards, nobody calling: 88.6 KB/s and 4.5 % of a core for each entry, nearly all of it one heartbeat per shard and replica. A busy shard finds a silent replica by its acknowledgements (1 s) and control finds silent VMs (3 s), so the idle heartbeat only has to find a connection that is broken one way.

--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -36,8 +36,10 @@
 const (
 	// TickInterval is the time between two Tick events.
 	TickInterval = 50 * time.Millisecond
-	// HeartbeatInterval is the time between two messages to an idle replica.
-	HeartbeatInterval = 500 * time.Millisecond
+	// HeartbeatInterval is the time between two messages to an idle replica. A
+	// silent replica of a busy shard is found by its missing acknowledgements, and
+	// control finds silent VMs, so an idle shard can afford to wait.
+	HeartbeatInterval = 4 * time.Second
 	// AcknowledgeTimeout is how long an in-sync replica may hold up the owner
 	// before the owner asks control to remove it.
 	AcknowledgeTimeout = time.Second
