--- a/coord/shard/clients_test.go
+++ b/coord/shard/clients_test.go
@@ -48,13 +48,14 @@
 	spent     map[string]int64         // tokens granted and not returned, by root program
 	calls     map[string]int64         // calls granted and not returned, by root program
 	budgets   map[string]fleet.Budget  // by root program
+	verified  map[program.Ref]string   // what the last check of a history saw
 }
 
 func newClients(w *world) clients {
 	return clients{
 		w: w, waiting: map[uint64]func(Effect){}, runs: map[string]int{}, responses: map[string]string{}, refusals: map[string]int{},
 		acked: map[program.Ref][]uint64{}, lastSeq: map[program.Ref]uint64{}, mayEnd: map[program.Ref]bool{},
-		ended: map[program.Ref]uint64{}, spent: map[string]int64{}, calls: map[string]int64{}, budgets: map[string]fleet.Budget{},
+		ended: map[program.Ref]uint64{}, spent: map[string]int64{}, calls: map[string]int64{}, budgets: map[string]fleet.Budget{}, verified: map[program.Ref]string{},
 	}
 }
 
@@ -313,6 +314,11 @@
 func (c *clients) checkHistories(n *simNode) {
 	for ref, acked := range c.acked {
 		history := string(n.r.Table().History(ref))
+		state := fmt.Sprint(history, len(acked), c.ended[ref], c.mayEnd[ref])
+		if c.verified[ref] == state {
+			continue
+		}
+		c.verified[ref] = state
 		var sequences []uint64
 		for _, m := range turn.FindAllStringSubmatch(history, -1) {
 			sequence, _ := strconv.ParseUint(m[2], 10, 64)
