--- a/bench/cmd/policybench/main.go
+++ b/bench/cmd/policybench/main.go
@@ -14,6 +14,7 @@
 
 	"hemlockvale.dev/bench/experiment"
 	"hemlockvale.dev/bench/render"
+	"hemlockvale.dev/coord/placement"
 )
 
 // errBounds means that the run worked and a bound is not met.
@@ -25,6 +26,8 @@
 	short  bool
 	output string
 	plots  string
+	// latency and fairness replace the deployments' weights unless both are zero.
+	latency, fairness float64
 }
 
 func main() {
@@ -47,6 +50,8 @@
 	c.Flags().IntVar(&f.seeds, "seeds", experiment.SeedCount, "number of consecutive seeds")
 	c.Flags().BoolVar(&f.short, "short", false, "run only what the bounds need")
 	c.Flags().StringVar(&f.output, "output", "table", "table or json")
+	c.Flags().Float64Var(&f.latency, "latency", 0, "weight of program latency in all profiles (with --fairness)")
+	c.Flags().Float64Var(&f.fairness, "fairness", 0, "weight of the organisations' shares in all profiles (with --latency)")
 	c.Flags().StringVar(&f.plots, "plots", "", "directory for SVG plots (none if empty)")
 	return c
 }
@@ -61,6 +66,11 @@
 	if f.short {
 		options = experiment.Short(seeds)
 	}
+	if f.latency+f.fairness > 0 {
+		for i := range options.Deployments {
+			options.Deployments[i].Weights = placement.Weights{Latency: f.latency, Fairness: f.fairness}
+		}
+	}
 	options.Progress = log
 	report, err := experiment.Run(options)
 	if err != nil {
