--- a/coord/placement/place_test.go
+++ b/coord/placement/place_test.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"flag"
+	"fmt"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -12,6 +15,19 @@
 
 const batchSize = 16
 
+// TestMain lets SEED and STEPS select the seed and the number of the property
+// checks.
+func TestMain(m *testing.M) {
+	for variable, name := range map[string]string{"SEED": "rapid.seed", "STEPS": "rapid.checks"} {
+		if value := os.Getenv(variable); value != "" {
+			if err := flag.Set(name, value); err != nil {
+				panic(fmt.Errorf("%s: %w", variable, err))
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // target returns a healthy candidate with a current report.
 func target(id string, change func(*Candidate)) Candidate {
 	c := Candidate{
