--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := coord server cmd bench
+MODULES := coord server cmd bench tools
 BIN := bin
 
 .PHONY: build test race lint bench demo fleet fleet-stop clean
--- a/coord/ratelimit/owner.go
+++ b/coord/ratelimit/owner.go
@@ -8,7 +8,7 @@
 )
 
 // HalfLife is the time in which an organisation's token counter halves.
-const HalfLife = 30 * time.Second
+const HalfLife = 60 * time.Second
 
 // BucketName names the bucket of a service profile that has its own limits.
 // Neither part of the name contains a slash.
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -352,7 +352,7 @@
 	if done.Usage != nil {
 		finish.TokensUsed = done.Usage.TotalTokens
 	}
-	run.entry.Limiter.RecordUsage(run.call.organisation(), finish.TokensUsed)
+	run.entry.Limiter.RecordUsage(run.call.organisation(), finish.TokensUsed-cachedTokens(done.Usage))
 	run.entry.metrics.tokens.Inc(finish.TokensUsed)
 	finish.Head = run.request.conversation.headAfter(done.message())
 	finish.HistoryDelta = run.historyDelta(done)
@@ -367,6 +367,14 @@
 	return finish, stored
 }
 
+// cachedTokens is the part of the prompt that cost the engine nothing.
+func cachedTokens(u *usage) int64 {
+	if u == nil {
+		return 0
+	}
+	return u.CachedTokens
+}
+
 // historyDelta is one line of JSON: the messages since the last answer, and the answer.
 func (run *chatRun) historyDelta(done completion) []byte {
 	delta, err := json.Marshal(struct {
