--- a/cmd/e2e/faults_test.go
+++ b/cmd/e2e/faults_test.go
@@ -112,7 +112,7 @@
 // Guards against a withdrawn key that goes on working, and a change that an
 // entry does not enforce in time, also one that restarted meanwhile.
 func TestConfigurationInForce(t *testing.T) {
-	f := startFleet(t, 1)
+	f := startFleetOf(t, fleetSize{entries: 20, shards: 64, engines: 1})
 	doomed := f.issueKey("doomed")
 	f.eventually(inForceBound, func() error { _, err := f.chat(f.entries[2], doomed, uuid.NewString()); return err })
 	stream := f.openStream(f.entries[1], doomed, 4000)
@@ -126,9 +126,15 @@
 	require.Contains(t, string(rest), "key_withdrawn")
 	require.Less(t, time.Since(withdrawn), inForceBound)
 	for _, address := range f.entries[1:] {
-		f.eventually(inForceBound-time.Since(withdrawn), func() error { return expectProblem(f.chat(address, doomed, "x"))("unknown_key", "no") })
+		f.eventually(max(inForceBound-time.Since(withdrawn), 0), func() error { return expectProblem(f.chat(address, doomed, "x"))("unknown_key", "no") })
 	}
+	t.Logf("refused by 19 entries after %v", time.Since(withdrawn))
 	f.eventually(startTimeout, func() error { return expectProblem(f.chat(f.entries[0], doomed, "x"))("unknown_key", "no") })
+	f.eventually(takeoverBound, func() error { return f.putAlias("everywhere") })
+	changed := time.Now()
+	f.expectAlias("everywhere")
+	require.Less(t, time.Since(changed), inForceBound)
+	t.Logf("in force on 20 entries after %v", time.Since(changed))
 }
 
 func expectProblem(_ client.Answer, err error) func(code, executed string) error {
