--- a/coord/ratelimit/ratelimit_test.go
+++ b/coord/ratelimit/ratelimit_test.go
@@ -118,6 +118,42 @@
 	}
 }
 
+// Guards against requests that are admitted with an expired, late or repeated
+// answer, or with a reservation that the VM missed.
+func TestClientUsesAGrantOnceInTime(t *testing.T) {
+	answer := Answer{Granted: 1, Reserved: 1, Validity: 50 * time.Millisecond, RetryAfter: 30 * time.Millisecond, Rate: 10}
+	for _, c := range []struct {
+		name         string
+		answered     time.Duration
+		wrong        uint64 // added to the sequence
+		tick         time.Duration
+		now, reserve bool // the two requests are admitted
+	}{
+		{"in time", 10 * time.Millisecond, 0, 40 * time.Millisecond, true, true},
+		{"reservation not due", 10 * time.Millisecond, 0, 39 * time.Millisecond, true, false},
+		{"reservation missed", 10 * time.Millisecond, 0, 80 * time.Millisecond, true, false},
+		{"expired", 50 * time.Millisecond, 0, 85 * time.Millisecond, false, false},
+		{"clock stepped back", -time.Millisecond, 0, 40 * time.Millisecond, false, false},
+		{"another acquisition", 10 * time.Millisecond, 1, 40 * time.Millisecond, false, false},
+	} {
+		client, key := NewClient(), Key{Organisation: "acme"}
+		admitted := map[uint64]bool{}
+		use := func(effects []Effect) {
+			for _, e := range effects {
+				require.False(t, e.Kind == Admit && admitted[e.Request], c.name)
+				admitted[e.Request] = admitted[e.Request] || e.Kind == Admit
+			}
+		}
+		client.queues[key] = &queue{waiting: []waiting{{1, 1, 0}, {2, 1, 0}}}
+		use(client.Tick(0, key))
+		for range 2 {
+			use(client.Answered(c.answered, key, 1+c.wrong, answer))
+		}
+		use(client.Tick(c.tick, key))
+		require.Equal(t, [2]bool{c.now, c.reserve}, [2]bool{admitted[1], admitted[2]}, c.name)
+	}
+}
+
 // Guards against limits that are enforced too strictly or not at all at the edges.
 func TestTermsAndSizes(t *testing.T) {
 	_, limited := TermsFor(fleet.Limits{Burst: 5})
--- a/server/control/fault_test.go
+++ b/server/control/fault_test.go
@@ -101,8 +101,10 @@
 		require.NoError(t, err)
 		require.NotZero(t, r.LeaseMS)
 	}
+	f.ahead.Add(int64(membership.DeadAfter))
 	_, err := poll(old)
 	require.ErrorContains(t, err, fleet.CodeVMReplaced)
+	require.Empty(t, c.tracker.Live(c.now(), []fleet.VMRef{old.VMRef}), "its polls keep its former shards with it")
 	other := testVM("vm-2", "a", "dc-1")
 	other.Region = "r2"
 	_, err = poll(other)
