--- a/coord/shard/fault_test.go
+++ b/coord/shard/fault_test.go
@@ -403,9 +403,9 @@
 	require.True(t, r.active())
 	require.Nil(t, r.Table().Program(program.Ref{Organisation: "org", ID: "12/2"}).Running(), "its runner is gone")
 	call := begin(14, 3)[0].Change.Begin.Call
-	call.Runner = fleet.VMRef{}
+	call.Runner, call.Revision = fleet.VMRef{ID: "new", Incarnation: "1"}, 2
 	step(BeginRequest{1, call})
-	require.True(t, holds(14, 3))
+	require.True(t, holds(14, 3), "a runner that registered after this view is not gone")
 	send(NeedCopy, Append{Header: header(4), Previous: 13, PreviousEpoch: 4})
 	send(NeedCopy, Append{Header: header(4), Previous: 12, PreviousEpoch: 2, Records: begin(13, 4)})
 	require.True(t, holds(14, 3), "the former owner's state stays until a copy arrives")
