--- a/server/control/fault_test.go
+++ b/server/control/fault_test.go
@@ -154,6 +154,11 @@
 	require.ErrorContains(t, assign(want), fleet.CodeStaleVersion, "the change took effect although its answer was lost")
 	have, _ = c.state.Assignment(0)
 	require.Len(t, have.InSync, 2)
+	handover := have
+	handover.Owner, handover.Epoch, handover.Version = have.InSync[1], have.Epoch+1, have.Version+1
+	require.NoError(t, assign(handover), "an owner hands its shard to an in-sync replica")
+	moved, _ := c.state.Assignment(0)
+	require.Equal(t, have.Owner, moved.Previous)
 }
 
 // Guards against an untrue "executed", a retry that takes effect twice, two
--- a/server/control/poll.go
+++ b/server/control/poll.go
@@ -235,11 +235,13 @@
 	if !ok {
 		return nil, rpc.Errorf(fleet.CodeNotFound, "shard %d is not assigned", a.Shard)
 	}
-	// An owner decides about its in-sync set only; the rest is the planner's.
-	if a.Owner != have.Owner || a.Epoch != have.Epoch || a.Version != have.Version+1 || !slices.Equal(a.Replicas, have.Replicas) {
+	if a.Version != have.Version+1 || !slices.Equal(a.Replicas, have.Replicas) || !(changesInSync(a, have) || handsOver(a, have)) {
 		return nil, rpc.Errorf(fleet.CodeStaleVersion, "shard %d is at epoch %d, version %d", a.Shard, have.Epoch, have.Version)
 	}
 	a.Previous = have.Previous
+	if a.Owner != have.Owner {
+		a.Previous = have.Owner
+	}
 	result, err := c.propose(ctx, fleet.Command{Assign: &a})
 	if err != nil {
 		return nil, proposeError(c, err)
@@ -253,6 +255,17 @@
 	return a, nil
 }
 
+// changesInSync says that the owner stays; then only the in-sync set may differ.
+func changesInSync(a, have fleet.Assignment) bool {
+	return a.Owner == have.Owner && a.Epoch == have.Epoch
+}
+
+// handsOver says that the owner passes the shard to a VM that holds all of it,
+// as before a planned stop. The rest of an assignment is the planner's.
+func handsOver(a, have fleet.Assignment) bool {
+	return a.Epoch == have.Epoch+1 && slices.Contains(have.InSync, a.Owner) && slices.Equal(a.InSync, have.InSync)
+}
+
 // proposeError turns a failed proposal into a typed error.
 func proposeError(c *Control, err error) error {
 	if !errors.Is(err, ErrNotLeader) {
