--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -41,7 +41,7 @@
 		if queue >= limit {
 			continue
 		}
-		cost := delay(&p, &r, c, occupancy, place)
+		cost := delay(&p, &r, c, occupancy, place, uniform(&random))
 		if best < 0 || less(c, cost, &cs[best], bestCost) {
 			best, bestCost = int(i), cost
 		}
@@ -137,8 +137,8 @@
 }
 
 // delay estimates how long a request waits and delays others, in seconds. place
-// is its position in a queue, from 0 (first) to 1.
-func delay(p *Policy, r *Request, c *Candidate, occupancy, place float64) float64 {
+// is its position in a queue, jitter a random number, both from 0 to 1.
+func delay(p *Policy, r *Request, c *Candidate, occupancy, place, jitter float64) float64 {
 	speed := c.TokensPerSecond
 	if speed <= 0 {
 		speed = defaultTokensPerSecond
@@ -148,7 +148,7 @@
 	evicted := p.EvictWeight * min(float64(r.PromptTokens), overflow(c, need))
 	busy := min(1, occupancy) * p.BusyTokens
 	queue := max(0, occupancy-1) * p.QueueTokens * place
-	return (prefill + evicted + busy + queue) / speed
+	return (prefill + evicted + busy + queue + jitter*p.JitterTokens) / speed
 }
 
 // less prefers targets without recent failures, then the lower cost.
@@ -169,11 +169,17 @@
 // retryAfter is the time in which the least loaded target falls below its
 // limit, with jitter so that refused callers do not return together.
 func retryAfter(p *Policy, excess float64, random *rand.PCG) time.Duration {
-	jitter := 1 + float64(random.Uint64()>>11)/(1<<53)
+	jitter := 1 + uniform(random)
 	batches := 1 + max(0, excess)
 	return time.Duration(batches * jitter * float64(p.BatchTime))
 }
 
+// uniform returns a number in [0, 1).
+func uniform(random *rand.PCG) float64 {
+	const bits = 53 // of a float64's mantissa
+	return float64(random.Uint64()>>(64-bits)) / (1 << bits)
+}
+
 func reason(r *Request, c *Candidate) string {
 	switch {
 	case c.Suspect:
--- a/coord/placement/policy.go
+++ b/coord/placement/policy.go
@@ -31,6 +31,9 @@
 	// BusyTokens is the cost of a full running batch, as a number of prefill
 	// tokens.
 	BusyTokens float64
+	// JitterTokens bounds a random cost that spreads the requests of entries which
+	// see the same reports, as a number of prefill tokens.
+	JitterTokens float64
 	// MaxQueue is the number of waiting batches at which a target takes no new
 	// programs.
 	MaxQueue float64
@@ -54,6 +57,7 @@
 		ExcessWeight:    0.5,
 		QueueTokens:     10000,
 		BusyTokens:      2000,
+		JitterTokens:    1000,
 		MaxQueue:        32,
 		MaxQueueStarted: 64,
 		BatchTime:       5 * time.Second,
