--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := coord server cmd bench tools
 BIN := bin
 
-.PHONY: build test race lint bench demo fleet fleet-stop clean
+.PHONY: build test race lint bench capacity demo fleet fleet-stop clean
 
 build:
 	@mkdir -p $(BIN)
@@ -29,3 +29,11 @@
 
 fleet-stop:
 	scripts/fleet.sh stop
+
+# Exits non-zero while a bound of bench/experiment/bounds.json is not met.
+bench:
+	GOMAXPROCS=4 go run ./bench/cmd/policybench --plots docs/img
+
+# The slopes of docs/CAPACITY.md that need separate processes; about four minutes.
+capacity:
+	go test ./cmd/e2e -run '^$$' -bench IdleFleet -benchtime 1x
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -77,16 +77,12 @@
 	callCtx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	defer e.active.add(c.key.ID, cancel)()
-	if problem := e.acquireRate(callCtx, c); problem != nil {
-		e.refuse(w, c, problem)
-		return
-	}
 	begin, problem := c.chatProgram(r, request)
 	if problem != nil {
 		e.refuse(w, c, problem)
 		return
 	}
-	replay, problem := e.begin(callCtx, c, begin)
+	replay, problem := e.admit(callCtx, c, begin)
 	switch {
 	case problem != nil:
 		e.refuse(w, c, problem)
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -80,6 +80,7 @@
 	seed    atomic.Uint64
 
 	entitlements entitlements
+	refusals     recentRefusals
 
 	draining atomic.Bool
 	running  sync.WaitGroup
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -148,7 +148,7 @@
 	defer f.mu.Unlock()
 	var out []placement.Candidate
 	for i, t := range f.list {
-		out = append(out, placement.Candidate{ID: t.id, MaxBatch: 8, KVCapacity: 1 << 20, TokensPerSecond: 1000, CachedTokens: int64(1000 - 100*i)})
+		out = append(out, placement.Candidate{ID: t.id, MaxBatch: 8, Running: 3 * i, KVCapacity: 1 << 20, TokensPerSecond: 1000})
 	}
 	return out
 }
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -127,6 +127,7 @@
 		return newProblem("limiter_unavailable", ExecutedNo, "%v", err).retry(time.Second)
 	}
 	if !decision.Granted {
+		e.refusals.note(c.organisation())
 		return newProblem("rate_limited", ExecutedNo, "organisation %s is over its rate", c.organisation()).retry(decision.RetryAfter)
 	}
 	c.organisationTokens = decision.OrganisationTokens
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -159,17 +159,16 @@
 	defer cancel(nil)
 	defer e.active.add(c.key.ID, cancel)()
 
-	if problem := e.acquireRate(callCtx, c); problem != nil {
-		e.refuse(w, c, problem)
-		return
-	}
 	begin, needed, problem := c.plainProgram(r)
+	if problem == nil && !needed {
+		problem = e.acquireRate(callCtx, c)
+	}
 	if problem != nil {
 		e.refuse(w, c, problem)
 		return
 	}
 	if needed {
-		replay, problem := e.begin(callCtx, c, begin)
+		replay, problem := e.admit(callCtx, c, begin)
 		if problem != nil {
 			e.refuse(w, c, problem)
 			return
