Ping only while calls wait, and close idle RPC connections after 1 s

Cause: with 24 entries most of an idle entry's bytes were pings on connections that shard heartbeats kept open. A silent connection is still found within 2 s while a call waits.

--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
@@ -72,3 +73,31 @@
 		}
 	}
 }
+
+// BenchmarkStateSize measures a follower's copy of the configuration in memory
+// and as a snapshot, restored as by a VM that starts.
+func BenchmarkStateSize(b *testing.B) {
+	for _, size := range []struct{ shards, vms, organisations int }{{64, 20, 8}, {64, 20, 1600}, {4096, 2500, 8}, {7500, 2500, 1600}} {
+		f, _ := benchState(b, size.shards, size.vms, size.organisations)
+		snapshot, err := f.s.FollowerSnapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("shards=%d/vms=%d/organisations=%d", size.shards, size.vms, size.organisations), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := New()
+				if err := s.Restore(snapshot); err != nil {
+					b.Fatal(err)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/1e6, "heap-MB")
+			b.ReportMetric(float64(len(snapshot))/1e6, "snapshot-MB")
+		})
+	}
+}
--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -137,6 +137,13 @@
 	p.lastCall = time.Now()
 }
 
+// waiting says whether a call is under way.
+func (p *peer) waiting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls > 0
+}
+
 // closeIdle closes the connection when no call has used it for IdleTimeout.
 func (p *peer) closeIdle(conn *jsonrpc2.Conn) bool {
 	p.mu.Lock()
@@ -173,6 +180,9 @@
 			if p.closeIdle(conn) {
 				return
 			}
+			if !p.waiting() {
+				continue
+			}
 			// The answer only has to arrive, so nobody waits for it.
 			ctx, cancel := context.WithTimeout(context.Background(), SilenceTimeout)
 			waiter, err := conn.DispatchCall(ctx, pingMethod, nil)
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -2,9 +2,11 @@
 // TCP, with a heartbeat inside every connection.
 //
 // A connection can go silent for good while new ones work. The client side of
-// every connection therefore sends a ping when it is idle and closes the
+// every connection therefore sends pings while a call waits and closes the
 // connection when nothing has arrived for SilenceTimeout; calls under way then
-// fail with an unknown outcome and the next call dials again.
+// fail with an unknown outcome and the next call dials again. A connection
+// without calls is closed after IdleTimeout, so that VMs which talk rarely cost
+// each other nothing.
 package rpc
 
 import (
@@ -16,13 +18,13 @@
 )
 
 const (
-	// PingInterval is the time between heartbeats on a client connection.
+	// PingInterval is the time between heartbeats on a client connection while calls wait.
 	PingInterval = 500 * time.Millisecond
 	// SilenceTimeout is how long a connection may deliver nothing before it is closed.
 	SilenceTimeout = 2 * time.Second
-	// IdleTimeout closes a connection that carried no call for so long. With
-	// thousands of VMs most pairs talk rarely, and each open connection costs pings.
-	IdleTimeout = 10 * time.Second
+	// IdleTimeout closes a connection that carried no call for so long. It is
+	// shorter than SilenceTimeout, because only calls under way are accompanied by pings.
+	IdleTimeout = time.Second
 	// pingMethod is answered by every server.
 	pingMethod = "rpc.ping"
 	// handlerErrorCode marks an error that a handler returned as *Error.
