--- a/cmd/e2e/harness_test.go
+++ b/cmd/e2e/harness_test.go
@@ -262,7 +262,6 @@
 	defer resp.Body.Close()
 	raw := make(map[string]int)
 	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&raw))
-	f.t.Log(raw)
 	byBody := make(map[string]int)
 	for request, n := range raw {
 		byBody[request[strings.LastIndexByte(request, ' ')+1:]] += n
--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -79,6 +79,7 @@
 func readEvents(in io.Reader, out io.Writer) ([]failure, error) {
 	var failures []failure
 	decoder := json.NewDecoder(bufio.NewReader(in))
+	p := printer{out: out, pending: make(map[failure][]string)}
 	seen := 0
 	for {
 		var e event
@@ -90,7 +91,7 @@
 			return nil, fmt.Errorf("read the test output: %w", err)
 		}
 		seen++
-		printEvent(e, out)
+		p.print(e)
 		if e.Action == "fail" || e.Action == "build-fail" {
 			failures = append(failures, failure{e.Package, e.Test})
 		}
@@ -101,16 +102,27 @@
 	return failures, nil
 }
 
-// printEvent prints what "go test" without -json prints: the result of each
-// package and everything about failures.
-func printEvent(e event, out io.Writer) {
+// printer prints what "go test" without -json prints: the result of each
+// package, and the output of the tests that failed.
+type printer struct {
+	out     io.Writer
+	pending map[failure][]string
+}
+
+func (p *printer) print(e event) {
+	key := failure{e.Package, e.Test}
 	switch {
-	case e.Action == "build-output":
-		fmt.Fprint(out, e.Output)
-	case e.Action != "output", strings.HasPrefix(e.Output, "=== "), strings.Contains(e.Output, "--- PASS"), strings.Contains(e.Output, "--- SKIP"):
-	case e.Test == "" && strings.HasPrefix(e.Output, "PASS"):
-	default:
-		fmt.Fprint(out, e.Output)
+	case e.Action == "build-output", e.Action == "output" && e.Test == "":
+		if !strings.HasPrefix(e.Output, "PASS") {
+			fmt.Fprint(p.out, e.Output)
+		}
+	case e.Action == "output":
+		p.pending[key] = append(p.pending[key], e.Output)
+	case e.Action == "fail":
+		fmt.Fprint(p.out, strings.Join(p.pending[key], ""))
+		delete(p.pending, key)
+	case e.Action == "pass", e.Action == "skip":
+		delete(p.pending, key)
 	}
 }
 
