--- a/server/client/caller.go
+++ b/server/client/caller.go
@@ -14,16 +14,22 @@
 
 // Message is one chat message.
 type Message struct {
-	Role    string `json:"role"`
+	// Role is "system", "user" or "assistant".
+	Role string `json:"role"`
+	// Content is the text.
 	Content string `json:"content"`
 }
 
 // Chat is one call of a program.
 type Chat struct {
-	Model     string    `json:"model,omitempty"`
-	Messages  []Message `json:"messages"`
-	Stream    bool      `json:"stream,omitempty"`
-	MaxTokens int64     `json:"max_tokens,omitempty"`
+	// Model is a model or an alias of the profile; empty takes its default.
+	Model string `json:"model,omitempty"`
+	// Messages are the conversation so far.
+	Messages []Message `json:"messages"`
+	// Stream asks for the answer in parts.
+	Stream bool `json:"stream,omitempty"`
+	// MaxTokens bounds the answer; 0 leaves it to the system.
+	MaxTokens int64 `json:"max_tokens,omitempty"`
 
 	// Program is sent as X-Program-Id; empty sends none.
 	Program string `json:"-"`
@@ -33,12 +39,12 @@
 
 // Answer is a whole answer to a call.
 type Answer struct {
-	Text             string
-	Target           string
-	Reason           string
-	PromptTokens     int64
-	CachedTokens     int64
-	CompletionTokens int64
+	// Text is the whole text.
+	Text string
+	// Target served the call and Reason says why it was chosen.
+	Target, Reason string
+	// PromptTokens, CachedTokens and CompletionTokens are the engine's counts.
+	PromptTokens, CachedTokens, CompletionTokens int64
 }
 
 // Caller calls one entry with one key.
--- a/server/client/configuration.go
+++ b/server/client/configuration.go
@@ -16,8 +16,11 @@
 
 // Configuration is a set of objects that is applied together.
 type Configuration struct {
-	Services      []fleet.Service      `json:"services,omitempty"`
-	Profiles      []fleet.Profile      `json:"profiles,omitempty"`
+	// Services are written before the organisations that use them.
+	Services []fleet.Service `json:"services,omitempty"`
+	// Profiles belong to organisations.
+	Profiles []fleet.Profile `json:"profiles,omitempty"`
+	// Organisations name their default profiles.
 	Organisations []fleet.Organisation `json:"organisations,omitempty"`
 }
 
--- a/server/entry/chatrun.go
+++ b/server/entry/chatrun.go
@@ -13,6 +13,7 @@
 	"hemlockvale.dev/coord/placement"
 	"hemlockvale.dev/coord/program"
 	"hemlockvale.dev/coord/retry"
+	"hemlockvale.dev/coord/target"
 )
 
 // chatRun is the run of one chat call.
@@ -145,7 +146,7 @@
 	header.Set("Content-Type", contentTypeJSON)
 	header.Set("Accept", contentTypeSSE)
 	if ref := run.call.ticket.Program; ref.ID != "" {
-		header.Set(headerTargetProgram, ref.Organisation+"/"+ref.ID)
+		header.Set(headerTargetProgram, target.CacheKey(ref.Organisation, ref.ID))
 	}
 	x, result, err := run.entry.client.open(ctx, targetRequest{
 		method:        http.MethodPost,
--- a/server/entry/entries.go
+++ b/server/entry/entries.go
@@ -24,7 +24,9 @@
 
 // EntryAddress is one entry VM.
 type EntryAddress struct {
-	Address    string `json:"address"`
+	// Address is the VM's HTTP address.
+	Address string `json:"address"`
+	// DataCentre is where the VM runs.
 	DataCentre string `json:"data_centre"`
 }
 
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -24,29 +24,44 @@
 
 // Programs owns the state of programs across the fleet.
 type Programs interface {
+	// Begin takes the program's turn and writes the call's record.
 	Begin(ctx context.Context, c program.BeginCall) (program.BeginResult, error)
+	// Finish settles a call.
 	Finish(ctx context.Context, f program.FinishCall) error
+	// End ends a program and releases its engine memory.
 	End(ctx context.Context, ref program.Ref) error
+	// History returns one JSON line for each turn.
 	History(ctx context.Context, ref program.Ref) ([]byte, error)
+	// Quarantined says whether an equal request took too many targets down.
 	Quarantined(ctx context.Context, organisation string, fingerprint uint64) (bool, error)
+	// ReportCrash records that a target failed while it ran a request.
 	ReportCrash(ctx context.Context, organisation string, fingerprint uint64, target string) error
+	// ClearQuarantine lets a request run again.
 	ClearQuarantine(ctx context.Context, organisation string, fingerprint uint64) error
 }
 
 // Limiter enforces the rate and burst of organisations across the fleet.
 type Limiter interface {
+	// Acquire takes n requests from the rates of an organisation and a profile.
 	Acquire(ctx context.Context, organisation, profile string, n float64) (limits.Decision, error)
+	// RecordUsage counts the tokens that an organisation used.
 	RecordUsage(organisation string, tokens int64)
 }
 
 // Targets is this VM's view of the targets.
 type Targets interface {
+	// Candidates returns the targets that may get a request now.
 	Candidates(service, model string, ref program.Ref) []placement.Candidate
+	// Address returns where a target is reached.
 	Address(id string) (string, bool)
+	// Dispatched and Completed keep the count of requests under way.
 	Dispatched(id string, tokens int64)
 	Completed(id string, tokens int64, load *target.Load)
+	// Failed makes a target a suspect for a while.
 	Failed(id string)
+	// Views returns all known targets, for operators.
 	Views() []target.View
+	// Order gives a target an order through the owner of its shard.
 	Order(ctx context.Context, id string, o target.Order) error
 }
 
@@ -60,15 +75,24 @@
 
 // Options are the parts that an entry is assembled from.
 type Options struct {
-	Settings      settings.Settings
-	Self          fleet.VMRef
+	// Settings are those of the process.
+	Settings settings.Settings
+	// Self is this run of the VM.
+	Self fleet.VMRef
+	// Configuration is this VM's copy of the fleet's configuration.
 	Configuration Configuration
-	Programs      Programs
-	Limiter       Limiter
-	Targets       Targets
-	Policy        placement.Policy
-	Registry      gometrics.Registry
-	Log           *logrus.Entry
+	// Programs owns the state of programs across the fleet.
+	Programs Programs
+	// Limiter enforces rates and bursts across the fleet.
+	Limiter Limiter
+	// Targets is this VM's view of the targets.
+	Targets Targets
+	// Policy holds the constants of placement.
+	Policy placement.Policy
+	// Registry receives the metrics.
+	Registry gometrics.Registry
+	// Log receives one line for each event.
+	Log *logrus.Entry
 }
 
 // Entry serves callers.
--- a/server/entry/operators.go
+++ b/server/entry/operators.go
@@ -14,20 +14,25 @@
 
 // TargetStatus is one target as this VM sees it.
 type TargetStatus struct {
-	ID          string      `json:"id"`
-	Kind        string      `json:"kind"`
-	Service     string      `json:"service"`
-	Address     string      `json:"address"`
-	DataCentre  string      `json:"data_centre"`
-	Role        string      `json:"role,omitempty"`
-	Fencing     string      `json:"fencing,omitempty"`
+	// ID, Kind, Service, Address, DataCentre, Role and Fencing were announced.
+	ID         string `json:"id"`
+	Kind       string `json:"kind"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Role       string `json:"role,omitempty"`
+	Fencing    string `json:"fencing,omitempty"`
+	// Load is the newest report, ReportAgeMS its age in milliseconds.
 	Load        target.Load `json:"load"`
 	ReportAgeMS int64       `json:"report_age_ms"`
-	Outstanding int         `json:"outstanding"`
-	Usable      bool        `json:"usable"`
-	Leaving     bool        `json:"leaving"`
-	Drained     bool        `json:"drained"`
-	Suspect     bool        `json:"suspect"`
+	// Outstanding is the number of requests that this VM has dispatched and no report counts yet.
+	Outstanding int `json:"outstanding"`
+	// Usable targets get new work; Leaving and Drained say why one does not.
+	Usable  bool `json:"usable"`
+	Leaving bool `json:"leaving"`
+	Drained bool `json:"drained"`
+	// Suspect targets failed lately and are used last.
+	Suspect bool `json:"suspect"`
 }
 
 // operator wraps a handler that only operators may call.
--- a/server/entry/problem.go
+++ b/server/entry/problem.go
@@ -26,11 +26,17 @@
 
 // Problem is the body of every refusal, as application/problem+json.
 type Problem struct {
-	Type     string   `json:"type"`
-	Title    string   `json:"title"`
-	Status   int      `json:"status"`
-	Detail   string   `json:"detail,omitempty"`
-	Code     string   `json:"code"`
+	// Type is a URN that ends with the code.
+	Type string `json:"type"`
+	// Title describes the code, for people.
+	Title string `json:"title"`
+	// Status is the HTTP status.
+	Status int `json:"status"`
+	// Detail describes this occurrence, for people.
+	Detail string `json:"detail,omitempty"`
+	// Code is stable, for programs.
+	Code string `json:"code"`
+	// Executed says whether the request had an effect.
 	Executed Executed `json:"executed"`
 
 	retryAfter time.Duration
--- a/server/load/report.go
+++ b/server/load/report.go
@@ -33,18 +33,28 @@
 
 // Report is what callers experienced.
 type Report struct {
-	Seconds         float64            `json:"seconds"`
-	Program         Latency            `json:"program"`
-	Call            Latency            `json:"call"`
-	FirstToken      Latency            `json:"first_token"`
-	Organisations   map[string]Latency `json:"organisations"`
-	WorstServed     string             `json:"worst_served_organisation"`
-	ProgramsFailed  map[string]int64   `json:"programs_failed"`
-	Refusals        map[string]int64   `json:"refusals"`
-	Unexplained     map[string]int64   `json:"unexplained_errors"`
-	CachedPrefix    float64            `json:"cached_prefix_share"`
-	CallsPerSecond  float64            `json:"calls_per_second"`
-	TokensGenerated int64              `json:"tokens_generated"`
+	// Seconds is the length of the run.
+	Seconds float64 `json:"seconds"`
+	// Program covers whole programs, Call answered calls, FirstToken the time to the first part.
+	Program    Latency `json:"program"`
+	Call       Latency `json:"call"`
+	FirstToken Latency `json:"first_token"`
+	// Organisations holds the latency of each organisation's programs.
+	Organisations map[string]Latency `json:"organisations"`
+	// WorstServed has the highest 95th percentile.
+	WorstServed string `json:"worst_served_organisation"`
+	// ProgramsFailed counts programs that got no answer, by organisation.
+	ProgramsFailed map[string]int64 `json:"programs_failed"`
+	// Refusals counts refused attempts, by code and whether they ran.
+	Refusals map[string]int64 `json:"refusals"`
+	// Unexplained counts calls without an answer after all retries, by their last error.
+	Unexplained map[string]int64 `json:"unexplained_errors"`
+	// CachedPrefix is the part of all prompt tokens that engines had cached, from 0 to 1.
+	CachedPrefix float64 `json:"cached_prefix_share"`
+	// CallsPerSecond counts answered calls.
+	CallsPerSecond float64 `json:"calls_per_second"`
+	// TokensGenerated is the sum of the answers' tokens.
+	TokensGenerated int64 `json:"tokens_generated"`
 }
 
 // recorder collects what happened; it is safe for concurrent use.
