Refuse profiles that open a route; apply configurations in the order of their references

A profile's "open" was accepted and had no effect. hemlockctl apply wrote profiles before the services that their routes name, so a first apply failed and had to be repeated; make fleet hid it behind its retries.

--- a/coord/fleet/state_test.go
+++ b/coord/fleet/state_test.go
@@ -46,6 +46,7 @@
 		{profile(Profile{Models: []string{"m"}, ModelAliases: map[string]string{"x": "y"}}), CodeInvalid, `put_profile.model_aliases["x"]`},
 		{profile(Profile{Routes: []Route{{Service: "none", PathPrefix: "/"}}}), CodeNotFound, "put_profile.routes[0].service"},
 		{profile(Profile{Routes: []Route{{Service: "llm", PathPrefix: "x"}}}), CodeInvalid, "put_profile.routes[0].path_prefix"},
+		{profile(Profile{Routes: []Route{{Service: "llm", PathPrefix: "/x", Open: true}}}), CodeInvalid, "put_profile.routes[0].open"},
 		{profile(Profile{Resend: Resend{Identify: "magic"}}), CodeInvalid, "put_profile.resend.identify"},
 		{profile(Profile{Routes: []Route{{Service: "llm", PathPrefix: "/"}}}), "", ""},
 		{Command{PutProfile: &Profile{Name: "p", Organisation: "other"}}, CodeInvalid, "put_profile.organisation"},
--- a/coord/fleet/validate.go
+++ b/coord/fleet/validate.go
@@ -224,6 +224,9 @@
 	}
 	for i, r := range routes {
 		at := place + "[" + strconv.Itoa(i) + "]"
+		if r.Open {
+			return refuse(CodeInvalid, at+".open", "a profile cannot open a route: list it in the service's open_routes")
+		}
 		if err := first(exists(at+".service", "service", r.Service, v.services), checkRoute(at, r)); err != nil {
 			return err
 		}
--- a/server/client/configuration.go
+++ b/server/client/configuration.go
@@ -44,13 +44,19 @@
 			errs = append(errs, fmt.Errorf("%s %s: %w", kind, name, err))
 		}
 	}
-	// A profile names its organisation and an organisation its default
-	// profile, so a new organisation is written without a profile first.
-	for _, o := range c.Organisations {
-		if revision, err := a.revision(ctx, "organisations", o.ID); err == nil && revision == 0 {
-			put("organisations", o.ID, fleet.Organisation{ID: o.ID, Name: o.Name, HomeRegion: o.HomeRegion})
+	// A profile names its organisation and services, while organisations and
+	// services name profiles. New ones are therefore written without profiles first.
+	putNew := func(kind, name string, object any) {
+		if revision, err := a.revision(ctx, kind, name); err == nil && revision == 0 {
+			put(kind, name, object)
 		}
 	}
+	for _, o := range c.Organisations {
+		putNew("organisations", o.ID, fleet.Organisation{ID: o.ID, Name: o.Name, HomeRegion: o.HomeRegion})
+	}
+	for _, s := range c.Services {
+		putNew("services", s.Name, fleet.Service{Name: s.Name, Kind: s.Kind})
+	}
 	for _, p := range c.Profiles {
 		put("profiles", p.Name, p)
 	}
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -124,7 +124,8 @@
 	var best fleet.Route
 	found := false
 	for _, route := range routes {
-		if route.Service != service || (route.Method != "" && route.Method != method) {
+		// A service's own routes need not name it.
+		if (route.Service != "" && route.Service != service) || (route.Method != "" && route.Method != method) {
 			continue
 		}
 		if !underPrefix(subPath, route.PathPrefix) || (found && len(route.PathPrefix) < len(best.PathPrefix)) {
