--- a/coord/shard/peer.go
+++ b/coord/shard/peer.go
@@ -37,7 +37,7 @@
 // send sends what a peer lacks. One message at a time is in flight, so records
 // that are written meanwhile go into the next one together.
 func (r *Replica) send(p *peer) {
-	if p.inFlight && r.now-p.sentAt < p.patience() {
+	if p.inFlight && r.now-p.sentAt < p.resendDelay() {
 		return
 	}
 	if p.copy != nil {
@@ -64,8 +64,8 @@
 	r.emit(SendAppend{p.ref, p.number, m})
 }
 
-// patience is how long an unanswered message blocks the next one.
-func (p *peer) patience() time.Duration {
+// resendDelay is how long an unanswered message blocks the next one.
+func (p *peer) resendDelay() time.Duration {
 	if p.copy != nil {
 		return copyRetryInterval
 	}
@@ -197,9 +197,9 @@
 	}
 }
 
-// excuseSilence restarts the timers of all replicas after a pause of the owner
+// resetPeerTimers restarts the timers of all replicas after a pause of the owner
 // itself: their answers may still wait to be read.
-func (o *owner) excuseSilence(now time.Duration) {
+func (o *owner) resetPeerTimers(now time.Duration) {
 	for _, p := range o.peers {
 		p.lagSince, p.heardAt = now, now
 	}
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -97,7 +97,7 @@
 	clear(r.out)
 	r.out = r.out[:0]
 	if r.owner != nil && now-r.now > pauseThreshold {
-		r.owner.excuseSilence(now)
+		r.owner.resetPeerTimers(now)
 	}
 	r.now = max(now, r.now)
 	switch e := e.(type) {
@@ -108,7 +108,7 @@
 		r.settleLost()
 	case LeaseRenewed:
 		if r.owner != nil && !r.active() {
-			r.owner.excuseSilence(r.now)
+			r.owner.resetPeerTimers(r.now)
 		}
 		r.lease = e.Until
 		r.takeOver()
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -122,7 +122,7 @@
 	mu         sync.Mutex // guards everything below
 	since      time.Time  // the leadership that the fields below belong to
 	tracker    *membership.Tracker
-	condemned  map[fleet.VMRef]bool
+	withheld   map[fleet.VMRef]bool
 	recreating int // operators' recreations of shards under way
 	settle     settling
 	idle       idlePlan
@@ -189,7 +189,7 @@
 	if !since.Equal(c.since) {
 		c.since = since
 		c.tracker = membership.NewTracker(since.Sub(c.start))
-		c.condemned = nil
+		c.withheld = nil
 		c.settle = settling{}
 		c.idle = idlePlan{}
 		c.lost = nil
--- a/server/control/plan.go
+++ b/server/control/plan.go
@@ -57,11 +57,11 @@
 	live, commands := c.judge()
 	c.reportLost(live)
 	if len(commands) == 0 {
-		c.forgive()
+		c.releaseWithheld()
 		return
 	}
 	if c.carryOut(ctx, commands) {
-		c.forgive()
+		c.releaseWithheld()
 	}
 }
 
@@ -87,7 +87,7 @@
 }
 
 // judge decides which VMs are live and plans accordingly. The dead VMs of a
-// plan that changes anything stay condemned until its changes are known to be
+// plan that changes anything get no lease until its changes are known to be
 // in the configuration or to be refused: a poll in between would otherwise
 // renew the lease of an owner whose successor is about to start.
 func (c *Control) judge() (map[fleet.VMRef]bool, []fleet.Command) {
@@ -97,7 +97,7 @@
 	now := c.now()
 	live := c.tracker.Live(now, refs)
 	c.tokens.retain(live)
-	for ref := range c.condemned {
+	for ref := range c.withheld {
 		delete(live, ref)
 	}
 	if len(c.state.Assignments()) == 0 && !c.settle.done(now) {
@@ -112,33 +112,33 @@
 		c.idle = idlePlan{revision: revision, live: live}
 		return live, nil
 	}
-	c.condemn(refs, live)
+	c.withholdLeases(refs, live)
 	return live, commands
 }
 
-// condemn withholds leases from the VMs that are not live. The caller holds the mutex.
-func (c *Control) condemn(refs []fleet.VMRef, live map[fleet.VMRef]bool) {
-	if c.condemned == nil {
-		c.condemned = make(map[fleet.VMRef]bool)
+// withholdLeases withholds leases from the VMs that are not live. The caller holds the mutex.
+func (c *Control) withholdLeases(refs []fleet.VMRef, live map[fleet.VMRef]bool) {
+	if c.withheld == nil {
+		c.withheld = make(map[fleet.VMRef]bool)
 	}
 	for _, ref := range refs {
 		if !live[ref] {
-			c.condemned[ref] = true
+			c.withheld[ref] = true
 		}
 	}
 }
 
-// forgive lets condemned VMs poll again, unless an operator's recreation of a
+// releaseWithheld lets the VMs get leases again, unless an operator's recreation of a
 // shard is still under way.
-func (c *Control) forgive() {
+func (c *Control) releaseWithheld() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.recreating == 0 {
-		c.condemned = nil
+		c.withheld = nil
 	}
 }
 
-// judgeShard plans the recreation of a lost shard and condemns the dead VMs;
+// judgeShard plans the recreation of a lost shard and withholds leases from the dead VMs;
 // the caller calls recreated when the outcome is known.
 func (c *Control) judgeShard(shard int) (fleet.Command, bool) {
 	refs := c.knownRefs()
@@ -147,13 +147,13 @@
 	live := c.tracker.Live(c.now(), refs)
 	command, ok := fleet.Recreate(c.state, live, shard)
 	if ok {
-		c.condemn(refs, live)
+		c.withholdLeases(refs, live)
 		c.recreating++
 	}
 	return command, ok
 }
 
-// recreated ends what judgeShard began; the next planning round forgives the VMs.
+// recreated ends what judgeShard began; the next planning round lets the VMs get leases again.
 func (c *Control) recreated() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/control/poll.go
+++ b/server/control/poll.go
@@ -141,7 +141,7 @@
 func (c *Control) observe(vm fleet.VMRef) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.condemned[vm] {
+	if c.withheld[vm] {
 		return false
 	}
 	c.tracker.Poll(c.now(), vm)
--- a/server/shardhost/api.go
+++ b/server/shardhost/api.go
@@ -28,9 +28,9 @@
 	abandonTimeout = 10 * time.Second
 	// handoverPoll is the time between two looks at the shards that remain.
 	handoverPoll = 20 * time.Millisecond
-	// handoverPatience bounds the time for which a shard waits for its next
+	// handoverAttempt bounds the time for which a shard waits for its next
 	// owner without serving; control plans every 200 ms and is polled every 500 ms.
-	handoverPatience = 1500 * time.Millisecond
+	handoverAttempt = 1500 * time.Millisecond
 	// handoverPause is how long a shard that could not move serves before the next attempt.
 	handoverPause = 500 * time.Millisecond
 )
@@ -214,7 +214,7 @@
 		if len(owned) == 0 {
 			return nil
 		}
-		waiting := time.Since(started)%(handoverPatience+handoverPause) < handoverPatience
+		waiting := time.Since(started)%(handoverAttempt+handoverPause) < handoverAttempt
 		for _, r := range owned {
 			r.post(input{event: shard.HandoverRequest{Cancel: !waiting || ctx.Err() != nil}})
 		}
