--- a/server/entry/entry_test.go
+++ b/server/entry/entry_test.go
@@ -220,7 +220,9 @@
 	}
 	f.send("GET", "/services/app/status?x="+testSecret, "", "Authorization", "Bearer "+testSecret)
 	require.NotContains(t, seen.Load(), testSecret)
-	require.Len(t, f.records.begun, 2, "an open route must not run as the key's organisation")
+	f.authorized("POST", "/services/app/feedback", "{}")
+	require.Len(t, f.records.begun, 3)
+	require.Empty(t, f.records.begun[2].Program.Organisation, "an open route must not run as the key's organisation")
 }
 
 // Guards against a stream that goes on after its key was withdrawn or the VM was cut off.
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -70,7 +70,7 @@
 			Resend: fleet.Resend{WindowMS: 1000, Identify: "body"}, CallTimeoutMS: 5000}},
 		{PutOrganisation: &fleet.Organisation{ID: "pantry", Profile: "default"}},
 		{PutService: &fleet.Service{Name: "llm", Kind: "engine"}},
-		{PutService: &fleet.Service{Name: "app", Kind: "service", OpenRoutes: []fleet.Route{{Method: "GET", PathPrefix: "/status"}}}},
+		{PutService: &fleet.Service{Name: "app", Kind: "service", OpenRoutes: []fleet.Route{{Method: "GET", PathPrefix: "/status"}, {Method: "POST", PathPrefix: "/feedback", NonIdempotent: true}}}},
 		{IssueKey: &fleet.Key{ID: "k1", Organisation: "pantry", Hash: hex.EncodeToString(hash[:])}},
 	} {
 		f.apply(c)
