Count the delay of cache events in their age; give the load tool prompt lengths

A view that had just received events was taken to show everything up to now, so the program's own record was ignored right after its last call.

--- a/cmd/hemlockctl/load.go
+++ b/cmd/hemlockctl/load.go
@@ -42,6 +42,7 @@
 	f.DurationVar(&l.Duration, "duration", 30*time.Second, "how long programs are started")
 	f.Float64Var(&l.Calls, "calls", 4, "mean number of calls of a program")
 	f.DurationVar(&l.Pause, "pause", 200*time.Millisecond, "mean tool pause between two calls")
+	f.IntVar(&l.PromptBytes, "prompt-bytes", 0, "length of each program's system message")
 	f.Int64Var(&l.MaxTokens, "max-tokens", 16, "length of each answer")
 	f.BoolVar(&l.Verify, "verify", true, "compare each answer with the emulated engine's")
 	f.StringSliceVar(&l.Direct, "direct", nil, "addresses of engines to call instead of the entries")
--- a/coord/target/cacheview.go
+++ b/coord/target/cacheview.go
@@ -10,6 +10,9 @@
 	// reorderWindow is how long events wait for earlier ones: they reach a
 	// watcher through different entries, each of which batches for up to 500 ms.
 	reorderWindow = time.Second
+	// eventDelay is how long a change of the cache may take to show here: targets
+	// publish in batches, and entries forward these in batches of their own.
+	eventDelay = 1500 * time.Millisecond
 	// maxWaitingEvents bounds the events that wait for earlier ones.
 	maxWaitingEvents = 1024
 	// maxCachePrograms bounds the programs of one target's view.
@@ -41,12 +44,13 @@
 	waitingSince time.Duration
 }
 
-// age is the time since events last arrived; math.MaxInt64 when none did.
+// age is the age of what the view certainly shows: a change that is older has
+// arrived if its event was not lost. It is math.MaxInt64 while nothing is certain.
 func (c *cacheView) age(now time.Duration) time.Duration {
-	if !c.heard {
+	if !c.heard || len(c.waiting) > 0 {
 		return math.MaxInt64
 	}
-	return now - c.updated
+	return now - c.updated + eventDelay
 }
 
 type cachedPrefix struct {
--- a/coord/target/registry.go
+++ b/coord/target/registry.go
@@ -56,7 +56,7 @@
 	// CachedTokens is the expected length of the program's prefix: the reported
 	// length times the trust in the report.
 	CachedTokens int64
-	// CacheAge is the time since cache events last arrived; very large when none did.
+	// CacheAge is the age of what the cache events certainly show; very large when that is nothing.
 	CacheAge time.Duration
 	// Suspect marks a target with recent failures.
 	Suspect bool
--- a/coord/target/registry_test.go
+++ b/coord/target/registry_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -226,3 +227,16 @@
 		}
 	})
 }
+
+// Guards against trusting cache events about changes that they cannot show yet:
+// the program's own record would then be ignored right after its last call.
+func TestCacheAge(t *testing.T) {
+	var c cacheView
+	require.Equal(t, time.Duration(math.MaxInt64), c.age(time.Second), "nothing was heard")
+	c.index = holderIndex{}
+	c.add(time.Second, []CacheEvent{{Sequence: 1, Kind: "stored", Program: "o/p", Tokens: 10}})
+	require.Equal(t, eventDelay, c.age(time.Second))
+	require.Equal(t, eventDelay+time.Second, c.age(2*time.Second))
+	c.add(2*time.Second, []CacheEvent{{Sequence: 3, Kind: "removed", Program: "o/p"}})
+	require.Equal(t, time.Duration(math.MaxInt64), c.age(2*time.Second), "an event is missing")
+}
--- a/server/load/load.go
+++ b/server/load/load.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	Calls float64
 	// Pause is the mean tool pause between two calls.
 	Pause time.Duration
+	// PromptBytes is the length of the system message of each program.
+	PromptBytes int
 	// MaxTokens is the length of each answer.
 	MaxTokens int64
 	// Verify compares each answer with the emulated engine's.
@@ -107,7 +110,9 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	calls := min(1+int(random.ExpFloat64()*(d.Calls-1)), maxCalls)
 	id := uuid.NewString()
-	messages := []client.Message{{Role: "system", Content: "You arrange pickups. Program " + id}}
+	instructions := "You arrange pickups. Program " + id
+	instructions += strings.Repeat(" .", max(d.PromptBytes-len(instructions), 0)/2)
+	messages := []client.Message{{Role: "system", Content: instructions}}
 	start := time.Now()
 	for i := range calls {
 		if i > 0 && !sleepUntil(ctx, time.Now().Add(time.Duration(random.ExpFloat64()*float64(d.Pause)))) {
