Do not hold up refusals by their records, nor operators by a frozen leader

Cause 1: a refusal waited up to 12 s for its record while the owner had no lease. The forward now ends when the leader changes.

--- a/server/control/fault_test.go
+++ b/server/control/fault_test.go
@@ -258,4 +258,18 @@
 	require.Equal(t, executedUnknown, request(t, s, "DELETE", "/organisations/acme", "").Executed)
 	silent.Close()
 	require.Equal(t, executedNo, request(t, s, "DELETE", "/organisations/acme", "").Executed)
+	// A frozen leader holds a request up only until another one leads.
+	release := make(chan struct{})
+	frozen := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		f.mu.Lock()
+		f.follower = "c3"
+		f.mu.Unlock()
+		<-release
+	}))
+	defer frozen.Close()
+	defer close(release)
+	follower.o.Settings.HTTPAddresses["c2"] = strings.TrimPrefix(frozen.URL, "http://")
+	start := time.Now()
+	require.Equal(t, executedUnknown, request(t, s, "DELETE", "/organisations/acme", "").Executed)
+	require.Less(t, time.Since(start), forwardTimeout/2)
 }
--- a/server/control/forward.go
+++ b/server/control/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -15,6 +16,8 @@
 	headerForwarded = "X-Hemlockvale-Forwarded"
 	// forwardTimeout bounds a forwarded request: a barrier and a change on the leader.
 	forwardTimeout = barrierTimeout + proposeTimeout
+	// leaderCheckInterval is how often a forwarded request looks for a new leader.
+	leaderCheckInterval = 50 * time.Millisecond
 	// dialTimeout bounds the connection to the leader.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -48,7 +51,7 @@
 		c.fail(w, r, decodeProblem(err))
 		return
 	}
-	response, err := c.forwardTo(address, r, body)
+	response, err := c.forwardTo(name, address, r, body)
 	if err != nil {
 		c.fail(w, r, forwardProblem(name, err))
 		return
@@ -64,9 +67,12 @@
 	_, _ = io.Copy(w, response.Body)
 }
 
-func (c *Control) forwardTo(address string, r *http.Request, body []byte) (*http.Response, error) {
+func (c *Control) forwardTo(name, address string, r *http.Request, body []byte) (*http.Response, error) {
 	url := "http://" + address + r.URL.RequestURI()
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, url, bytes.NewReader(body))
+	ctx, cancel := context.WithCancelCause(r.Context())
+	// The response's body is read after this returns, so only a failure cancels here.
+	go c.cancelOnLeaderChange(ctx, cancel, name)
+	out, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +87,27 @@
 	return c.forwarder.client.Do(out)
 }
 
+// errLeaderChanged ends the wait for a leader that has been replaced.
+var errLeaderChanged = errors.New("the leader has changed")
+
+// cancelOnLeaderChange ends a forwarded request once another VM leads: the
+// leader that it was sent to may be frozen and would hold it up until the timeout.
+func (c *Control) cancelOnLeaderChange(ctx context.Context, cancel context.CancelCauseFunc, name string) {
+	ticker := time.NewTicker(leaderCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if leader, _, _ := c.o.Quorum.Leader(); leader != "" && leader != name {
+				cancel(errLeaderChanged)
+				return
+			}
+		}
+	}
+}
+
 // forwardProblem says "no" only if no connection to the leader was made.
 func forwardProblem(leader string, err error) error {
 	p := problem(http.StatusServiceUnavailable, CodeNoQuorum, "", "the leader %s did not answer: %v", leader, err)
--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -65,7 +65,6 @@
 		return replay, problem
 	}
 	if c.ticket != nil && problem == nil {
-		// A failed record leaves the call to the owner, which settles it by its time limit.
 		_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
 	}
 	return nil, limited
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -86,7 +86,6 @@
 		e.metrics.answered(c)
 	default:
 		if problem := request.limitTokens(c.ticket.TokenLimit); problem != nil {
-			// A failed record leaves the call to the owner, which settles it by its time limit.
 			_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
 			e.refuse(w, c, problem)
 			return
--- a/server/entry/harness_test.go
+++ b/server/entry/harness_test.go
@@ -182,7 +182,8 @@
 	replay   *program.StoredResponse
 	refusal  *program.Refusal
 	crashes  map[uint64]int
-	limit    int64 // of the tokens of each ticket
+	limit    int64         // of the tokens of each ticket
+	blocked  chan struct{} // if set, Finish waits for its end
 }
 
 func (f *fakePrograms) Begin(_ context.Context, c program.BeginCall) (program.BeginResult, error) {
@@ -196,6 +197,9 @@
 }
 
 func (f *fakePrograms) Finish(_ context.Context, c program.FinishCall) error {
+	if f.blocked != nil {
+		<-f.blocked
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.finished = append(f.finished, c)
@@ -208,6 +212,13 @@
 	return append([]program.FinishCall(nil), f.finished...)
 }
 
+// waitSettled returns the outcomes once there are n: refusals do not wait for them.
+func (f *fakePrograms) waitSettled(t *testing.T, n int) []program.FinishCall {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(f.settled()) >= n }, 2*time.Second, time.Millisecond)
+	return f.settled()
+}
+
 func (f *fakePrograms) End(context.Context, program.Ref) error               { return nil }
 func (f *fakePrograms) History(context.Context, program.Ref) ([]byte, error) { return nil, nil }
 func (f *fakePrograms) Quarantined(_ context.Context, _ string, fingerprint uint64) (bool, error) {
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -206,7 +206,6 @@
 	c.ticket = result.Ticket
 	c.log = c.log.WithFields(logrus.Fields{"program": c.ticket.Program.ID, "sequence": c.ticket.Sequence})
 	if refused != nil {
-		// A failed record leaves the call to the owner, which settles it when this VM is gone.
 		_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
 	}
 	return nil, refused
@@ -228,11 +227,26 @@
 // an owner, which takes up to 5 s.
 const settleTimeout = 12 * time.Second
 
-// finish records the outcome of a call that holds a ticket.
+// finish records the outcome of a call that holds a ticket. An answer must be
+// recorded before the caller gets it; a refusal does not wait for its record,
+// which can take long while the owner has no lease.
 func (e *Entry) finish(c *call, f program.FinishCall) error {
 	if c.ticket == nil {
 		return nil
 	}
+	if f.Outcome == program.Completed {
+		return e.record(c, f)
+	}
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		// A record that fails leaves the call to the owner, which settles it by its time limit.
+		_ = e.record(c, f)
+	}()
+	return nil
+}
+
+func (e *Entry) record(c *call, f program.FinishCall) error {
 	defer e.metrics.stage(stageFinish)()
 	f.Ticket = *c.ticket
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
