End the wait for a record when the call is revoked

Cause: a call that had its answer when the lease lapsed waited 12 s for its record, because no owner had a lease either (trace of TestControlFaults: answer at 07:29:05.4, refusal outcome_not_recorded at 07:29:17.4; bound 3 s). The wait now ends with the lease or the key, as unknown, and the record goes on.

--- a/server/entry/admission.go
+++ b/server/entry/admission.go
@@ -65,7 +65,7 @@
 		return replay, problem
 	}
 	if c.ticket != nil && problem == nil {
-		_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
+		_ = e.finish(ctx, c, program.FinishCall{Outcome: program.NotRun})
 	}
 	return nil, limited
 }
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -86,7 +86,7 @@
 		e.metrics.answered(c)
 	default:
 		if problem := request.limitTokens(c.ticket.TokenLimit); problem != nil {
-			_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
+			_ = e.finish(callCtx, c, program.FinishCall{Outcome: program.NotRun})
 			e.refuse(w, c, problem)
 			return
 		}
--- a/server/entry/chatrun.go
+++ b/server/entry/chatrun.go
@@ -49,8 +49,11 @@
 		},
 	})
 	finish, stored := run.settlement(result)
-	if err := e.finish(c, finish); err != nil && result.problem == nil {
+	if err := e.finish(callCtx, c, finish); err != nil && result.problem == nil {
 		result.problem = newProblem("outcome_not_recorded", ExecutedUnknown, "%v", err)
+		if callCtx.Err() != nil {
+			result.problem = causeProblem(callCtx, ExecutedUnknown)
+		}
 	}
 	switch {
 	case result.problem != nil:
--- a/server/entry/entry_test.go
+++ b/server/entry/entry_test.go
@@ -311,6 +311,19 @@
 	require.Less(t, time.Since(start), time.Second)
 }
 
+// Guards against an answer that waits for its record although this VM was cut
+// off: the caller must learn within 3 s that it has to look elsewhere.
+func TestLapsedLeaseEndsTheWaitForTheRecord(t *testing.T) {
+	f := newFixture(t, streaming(true, "x"))
+	f.records.blocked = make(chan struct{})
+	defer close(f.records.blocked)
+	time.AfterFunc(100*time.Millisecond, func() { f.held.Store(false) })
+	start := time.Now()
+	p := f.problem(f.authorized("POST", "/v1/chat/completions", chatBody))
+	require.Equal(t, []any{"configuration_stale", ExecutedUnknown}, []any{p.Code, p.Executed})
+	require.Less(t, time.Since(start), 3*time.Second)
+}
+
 // Guards against a retry that runs again instead of getting the recorded answer.
 func TestReplay(t *testing.T) {
 	f := newFixture(t, streaming(true, "x"))
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -206,7 +206,7 @@
 	c.ticket = result.Ticket
 	c.log = c.log.WithFields(logrus.Fields{"program": c.ticket.Program.ID, "sequence": c.ticket.Sequence})
 	if refused != nil {
-		_ = e.finish(c, program.FinishCall{Outcome: program.NotRun})
+		_ = e.finish(ctx, c, program.FinishCall{Outcome: program.NotRun})
 	}
 	return nil, refused
 }
@@ -228,22 +228,28 @@
 const settleTimeout = 12 * time.Second
 
 // finish records the outcome of a call that holds a ticket. An answer must be
-// recorded before the caller gets it; a refusal does not wait for its record,
-// which can take long while the owner has no lease.
-func (e *Entry) finish(c *call, f program.FinishCall) error {
+// recorded before the caller gets it, unless ctx ends the wait. A refusal does
+// not wait for its record, which can take long while the owner has no lease. A
+// record that fails leaves the call to the owner, which settles it by its time limit.
+func (e *Entry) finish(ctx context.Context, c *call, f program.FinishCall) error {
 	if c.ticket == nil {
 		return nil
 	}
-	if f.Outcome == program.Completed {
-		return e.record(c, f)
-	}
+	recorded := make(chan error, 1)
 	e.running.Add(1)
 	go func() {
 		defer e.running.Done()
-		// A record that fails leaves the call to the owner, which settles it by its time limit.
-		_ = e.record(c, f)
+		recorded <- e.record(c, f)
 	}()
-	return nil
+	if f.Outcome != program.Completed {
+		return nil
+	}
+	select {
+	case err := <-recorded:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 func (e *Entry) record(c *call, f program.FinishCall) error {
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -284,7 +284,7 @@
 	if result.problem == nil && e.resendWindow(c) > 0 {
 		finish.Response = stored
 	}
-	if err := e.finish(c, finish); err != nil && result.problem == nil {
+	if err := e.finish(context.WithoutCancel(ctx), c, finish); err != nil && result.problem == nil {
 		return nil, nil, newProblem("outcome_not_recorded", ExecutedUnknown, "%v", err)
 	}
 	return stored, header, result.problem
