Share the periodic loop; drop a field of BeginCall that nobody read

server/limits and server/targets each had the same loop. A sub-agent is recognised by its id parent/child alone, so BeginCall.Parent, which entries still sent, was dead. Lint and the tests of the six packages concerned pass.

--- a/coord/program/types.go
+++ b/coord/program/types.go
@@ -30,8 +30,6 @@
 	Lineage bool `json:"lineage,omitempty"`
 	// Head is the hash of the messages through the last answer; 0 for a first call.
 	Head uint64 `json:"head,omitempty"`
-	// Parent is the id of the program that started this one.
-	Parent string `json:"parent,omitempty"`
 	// EstimatedTokens are reserved from the budget until the call is settled.
 	EstimatedTokens int64 `json:"estimated_tokens,omitempty"`
 	// Budget bounds the program, from the profile in force.
--- a/server/entry/chat.go
+++ b/server/entry/chat.go
@@ -232,7 +232,7 @@
 	if problem != nil {
 		return program.BeginCall{}, problem
 	}
-	begin := program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram), Head: request.conversation.head}
+	begin := program.BeginCall{Program: program.Ref{ID: id}, Head: request.conversation.head}
 	if !named {
 		begin.Program.ID = lineageID(c.key.ID, request.conversation)
 		begin.Lineage = true
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -226,7 +226,7 @@
 	if !c.open {
 		id, named, problem := namedProgram(r.Header)
 		if problem != nil || named {
-			return program.BeginCall{Program: program.Ref{ID: id}, Parent: r.Header.Get(headerParentProgram)}, named, problem
+			return program.BeginCall{Program: program.Ref{ID: id}}, named, problem
 		}
 	}
 	if !c.nonIdempotent && c.idempotency == "" {
--- a/server/limits/owner.go
+++ b/server/limits/owner.go
@@ -11,6 +11,7 @@
 
 	"hemlockvale.dev/coord/fleet"
 	"hemlockvale.dev/coord/ratelimit"
+	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
 )
 
@@ -181,24 +182,11 @@
 // apart, because a report may wait for an owner that does not answer.
 func (l *Limits) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	tasks.Go(func() { every(ctx, startInterval, l.startOwned) })
-	tasks.Go(func() { every(ctx, reportInterval, func() { l.reportUsage(ctx) }) })
+	tasks.Go(func() { periodic.Every(ctx, startInterval, l.startOwned) })
+	tasks.Go(func() { periodic.Every(ctx, reportInterval, func() { l.reportUsage(ctx) }) })
 	tasks.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, task func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			task()
-		}
-	}
-}
-
 // startOwned starts the shards that this VM has come to own, so that their
 // buckets begin to fill before the first request.
 func (l *Limits) startOwned() {
--- a/server/targets/targets.go
+++ b/server/targets/targets.go
@@ -26,6 +26,7 @@
 	"hemlockvale.dev/coord/placement"
 	"hemlockvale.dev/coord/program"
 	"hemlockvale.dev/coord/target"
+	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
 )
 
@@ -137,9 +138,9 @@
 // Run forwards, gives orders and lets leases lapse until ctx ends.
 func (t *Targets) Run(ctx context.Context) {
 	var g errgroup.Group
-	g.Go(func() error { every(ctx, tickInterval, t.tick); return nil })
-	g.Go(func() error { every(ctx, forwardInterval, func() { t.flush(ctx) }); return nil })
-	g.Go(func() error { every(ctx, releaseInterval, func() { t.repeatReleases(ctx) }); return nil })
+	g.Go(func() error { periodic.Every(ctx, tickInterval, t.tick); return nil })
+	g.Go(func() error { periodic.Every(ctx, forwardInterval, func() { t.flush(ctx) }); return nil })
+	g.Go(func() error { periodic.Every(ctx, releaseInterval, func() { t.repeatReleases(ctx) }); return nil })
 	for range effectWorkers {
 		g.Go(func() error { t.work(ctx); return nil })
 	}
@@ -147,19 +148,6 @@
 	t.client.CloseIdleConnections()
 }
 
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // now is the time on the scale of the cores.
 func (t *Targets) now() time.Duration { return time.Since(t.started) }
 
