Keep programs in time at a service whose backlog stays

From 36 s on arrivals equalled its capacity, so a backlog of about 170 requests (700 ms) never shrank, and every program until 52 s was late. The queue put late programs back by 400 ms at most.

The dispatcher now remembers programs: their time, how long they waited, and the most urgent route among their requests. Programs that are late, or have waited for a fifth of their time, are put back a step. The step grows from 0.4 to 1.5 s while a backlog lasts for more than 3 s: one that passes by itself is served in order of arrival, one that stays is given up. An organisation's rank goes before the route's, which now decides among equals.

Ruled out: loss of targets by a fault of ours (they were taken away by plan).

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -11,15 +11,6 @@
 const (
 	// lostAfter is how long after its caller's time a grant without an end is dropped.
 	lostAfter = 500 * time.Millisecond
-	// patience is the most time that one rank of priority is worth in the queue.
-	patience = 400 * time.Millisecond
-	// maxUrgency bounds how far a program that has time, or is late already, is
-	// put behind one that is about to be late; urgencyShare is the part of its
-	// remaining time that counts.
-	maxUrgency   = 400 * time.Millisecond
-	urgencyShare = 0.2
-	// rateWindow smooths the measured rate of completions.
-	rateWindow = time.Second
 	// medianInterval is how long a service's median time is used.
 	medianInterval = 100 * time.Millisecond
 	// minRetryAfter spreads refused callers.
@@ -41,8 +32,11 @@
 	byName  map[string][]*target // by service
 	buckets map[string]*bucket
 	grants  map[string]*grant
-	queues  map[string][]*waiting
-	rates   map[string]*completions
+	queues  map[string]*queue // by service
+	// programs are those under way.
+	programs programs
+	// used are the services that programs use, by the service at which they begin.
+	used    map[string]map[string]bool
 	medians map[string]*cachedMedian
 	// quarantine holds back requests that crash targets.
 	quarantine quarantine
@@ -63,31 +57,6 @@
 	fingerprint uint64
 }
 
-// waiting is a request that is held back.
-type waiting struct {
-	request Request
-	since   time.Duration
-	// token is when the organisation's token exists.
-	token   time.Duration
-	expires time.Duration
-	// rank orders the queue; lower runs first.
-	rank time.Duration
-}
-
-// completions measures how many requests of a service end per second.
-type completions struct {
-	rate float64
-	at   time.Duration
-}
-
-func (c *completions) add(now time.Duration) {
-	elapsed := (now - c.at).Seconds()
-	c.at = now
-	window := rateWindow.Seconds()
-	keep := max(0, 1-elapsed/window)
-	c.rate = c.rate*keep + 1/window
-}
-
 // New returns a dispatcher without targets that grants from now on; the seed breaks ties.
 func New(now time.Duration, seed uint64) *Dispatcher {
 	policy := placement.DefaultPolicy()
@@ -101,8 +70,8 @@
 		byName:     make(map[string][]*target),
 		buckets:    make(map[string]*bucket),
 		grants:     make(map[string]*grant),
-		queues:     make(map[string][]*waiting),
-		rates:      make(map[string]*completions),
+		queues:     make(map[string]*queue),
+		programs:   make(programs),
 		medians:    make(map[string]*cachedMedian),
 		quarantine: newQuarantine(),
 	}
@@ -143,36 +112,35 @@
 		d.uncharge(r.Organisation)
 		return Outcome{ID: r.ID, Refusal: NoTarget, RetryAfter: d.spread(unknownRetryAfter)}
 	}
-	w := &waiting{request: r, since: now, token: token, expires: now + r.TimeLeft, rank: now + rank(&r)}
+	w := newWaiting(now, r, d.programs.observe(now, &r))
 	if token > now {
+		w.token = token
 		d.shaped = append(d.shaped, w)
 		return Outcome{ID: r.ID}
 	}
-	if len(d.queues[r.Service]) == 0 {
+	q := d.queue(r.Service)
+	q.rank(now, w)
+	if len(q.waiting) == 0 {
 		if o, ok := d.place(now, w); ok {
 			return o
 		}
 	}
-	if wait := d.expectedWait(r.Service, w.rank); wait > r.TimeLeft {
+	if wait := q.expectedWait(w); wait > r.TimeLeft {
 		d.uncharge(r.Organisation)
 		return Outcome{ID: r.ID, Refusal: Overloaded, RetryAfter: d.spread(wait - r.TimeLeft)}
 	}
-	d.enqueue(w)
+	q.add(w)
 	return Outcome{ID: r.ID}
 }
 
-// rank places a request in the queue: by priority, then programs that may
-// still end in time by the time they have left, then those that are late. It is
-// bounded, so that nothing waits for ever.
-func rank(r *Request) time.Duration {
-	place := time.Duration(r.Priority) * patience
-	switch {
-	case r.ProgramLeft > 0:
-		place += min(time.Duration(float64(r.ProgramLeft)*urgencyShare), maxUrgency)
-	case r.ProgramLeft < 0:
-		place += maxUrgency
+// queue returns the queue of a service.
+func (d *Dispatcher) queue(service string) *queue {
+	q := d.queues[service]
+	if q == nil {
+		q = &queue{}
+		d.queues[service] = q
 	}
-	return place
+	return q
 }
 
 // forget drops an earlier question under the same id and says whether its token is still charged.
@@ -182,9 +150,9 @@
 		return true
 	}
 	hasID := func(w *waiting) bool { return w.request.ID == id }
-	for service, q := range d.queues {
-		if i := slices.IndexFunc(q, hasID); i >= 0 {
-			d.queues[service] = slices.Delete(q, i, i+1)
+	for _, q := range d.queues {
+		if i := slices.IndexFunc(q.waiting, hasID); i >= 0 {
+			q.waiting = slices.Delete(q.waiting, i, i+1)
 			return true
 		}
 	}
@@ -214,33 +182,6 @@
 	}
 }
 
-// enqueue keeps the queue ordered by rank.
-func (d *Dispatcher) enqueue(w *waiting) {
-	q := d.queues[w.request.Service]
-	at, _ := slices.BinarySearchFunc(q, w, func(a, b *waiting) int {
-		if a.rank <= b.rank {
-			return -1
-		}
-		return 1
-	})
-	d.queues[w.request.Service] = slices.Insert(q, at, w)
-}
-
-// expectedWait estimates when a request of the rank would run.
-func (d *Dispatcher) expectedWait(service string, rank time.Duration) time.Duration {
-	ahead := 0
-	for _, w := range d.queues[service] {
-		if w.rank <= rank {
-			ahead++
-		}
-	}
-	c := d.rates[service]
-	if c == nil || c.rate < 1 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / c.rate * float64(time.Second))
-}
-
 // spread adds jitter to a delay, so that refused callers do not return together.
 func (d *Dispatcher) spread(delay time.Duration) time.Duration {
 	delay = max(delay, minRetryAfter)
@@ -262,6 +203,9 @@
 	if t.cache != nil {
 		t.cache.read(r.Parts)
 	}
+	if w.program != nil {
+		w.program.held(now, now-w.since)
+	}
 	d.grants[r.ID] = &grant{target: t, org: r.Organisation, tokens: need, began: now, expires: w.expires + lostAfter, fingerprint: r.Fingerprint}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.since, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
@@ -354,12 +298,7 @@
 	}
 	t.observe(now, result)
 	if result == Completed || result == Failed {
-		c := d.rates[t.Service]
-		if c == nil {
-			c = &completions{}
-			d.rates[t.Service] = c
-		}
-		c.add(now)
+		d.queue(t.Service).completions.add(now)
 	}
 	return d.run(now, t.Service)
 }
@@ -381,10 +320,13 @@
 	d.shaped = slices.DeleteFunc(d.shaped, func(w *waiting) bool {
 		due := w.token <= now
 		if due {
-			d.enqueue(w)
+			q := d.queue(w.request.Service)
+			q.rank(now, w)
+			q.add(w)
 		}
 		return due
 	})
+	d.programs.sweep(now)
 	return d.runAll(now)
 }
 
@@ -396,35 +338,6 @@
 	return out
 }
 
-// run grants waiting requests of a service in order while targets are free.
-func (d *Dispatcher) run(now time.Duration, service string) []Outcome {
-	q := d.queues[service]
-	if len(q) == 0 {
-		return nil
-	}
-	var out []Outcome
-	rest := q[:0]
-	blocked := false
-	for _, w := range q {
-		if now >= w.expires {
-			d.uncharge(w.request.Organisation)
-			out = append(out, Outcome{ID: w.request.ID, Refusal: Expired, RetryAfter: d.spread(minRetryAfter), Waited: now - w.since})
-			continue
-		}
-		if !blocked {
-			if o, ok := d.place(now, w); ok {
-				out = append(out, o)
-				continue
-			}
-			blocked = true
-		}
-		rest = append(rest, w)
-	}
-	clear(q[len(rest):])
-	d.queues[service] = rest
-	return out
-}
-
 // Load describes a service for logs and metrics.
 type Load struct {
 	// Running and Waiting are requests, Slots the capacity of the targets in use.
@@ -433,7 +346,7 @@
 
 // Load returns the load of a service.
 func (d *Dispatcher) Load(service string) Load {
-	l := Load{Waiting: len(d.queues[service])}
+	l := Load{Waiting: len(d.queue(service).waiting)}
 	for _, t := range d.byName[service] {
 		l.Running += t.outstanding
 		if !t.Draining {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -62,12 +62,17 @@
 	Fingerprint uint64 `json:"f,omitempty"`
 	// Service selects the targets.
 	Service string `json:"s"`
+	// Program is the program's id; empty without one.
+	Program string `json:"g,omitempty"`
 	// Newcomer marks the first request of a program, UnderWay any later one;
 	// neither is set for requests without a program.
 	Newcomer bool `json:"n,omitempty"`
 	UnderWay bool `json:"u,omitempty"`
-	// Priority ranks the request; 0 is the most urgent.
+	// Priority ranks the request's organisation, or its route where the
+	// organisation has no rank; 0 is the most urgent.
 	Priority int `json:"p,omitempty"`
+	// RoutePriority ranks the route; it decides among requests of equal Priority.
+	RoutePriority int `json:"rp,omitempty"`
 	// TimeLeft is how long the caller still waits.
 	TimeLeft time.Duration `json:"w"`
 	// ProgramLeft is the time in which the program should end; 0 without a
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -327,6 +327,7 @@
 func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
 	request := ledgerhost.AdmitRequest{Attempt: x.attempt, Reserve: x.reserve}
 	request.ID, request.Service, request.Priority = x.call.ID, x.service.Name, x.route.Priority
+	request.Program, request.RoutePriority = x.call.Program, x.route.Priority
 	request.Fingerprint = x.fingerprint()
 	// Only a turn can begin a program; the ledger's leader knows whether it does.
 	request.UnderWay = x.call.Program != "" && x.reserve == nil
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -310,8 +310,12 @@
 	} else {
 		fields["refusal"], fields["retry_after_ms"] = string(r.Refusal), r.RetryAfter.Milliseconds()
 	}
+	if c.request.Program != "" {
+		fields["program"], fields["program_left_ms"] = c.request.Program, c.request.ProgramLeft.Milliseconds()
+		fields["standing"] = h.dispatcher.Standing(bootclock.Now(), &c.request.Request)
+	}
 	if v := c.request.Reserve; v != nil {
-		fields["program"], fields["budget"], fields["reserve"], fields["charged"] = v.Program.ID, v.Budget, v.Tokens, h.o.Machine.charged(v.Program)
+		fields["budget"], fields["reserve"], fields["charged"] = v.Budget, v.Tokens, h.o.Machine.charged(v.Program)
 	}
 	h.o.Log.WithFields(fields).Info("admission decided")
 }
