Send and log only what changed of the catalog

Every VM took the whole configuration and all targets at each revision, and each log entry carried the configuration and its document in base64 twice.

Tests: Diff and Apply over random configurations, a VM that follows by differences against one that gets everything, sizes.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -10,6 +10,7 @@
 package catalog
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -97,6 +98,11 @@
 	ConfigurationRevision uint64 `json:"configuration_revision"`
 	// Targets are by id.
 	Targets map[string]Target `json:"targets"`
+	// Changed is the log index of each target's last change, by id. Forgotten is
+	// that of the last change after which a target was removed; changes since an
+	// earlier index are not known completely.
+	Changed   map[string]uint64 `json:"changed,omitempty"`
+	Forgotten uint64            `json:"forgotten,omitempty"`
 	// Stores are the initial members of the store group; empty before it is formed.
 	Stores []Store `json:"stores,omitempty"`
 	// Retirements are by the VM's id.
@@ -105,7 +111,7 @@
 
 // New returns the empty state.
 func New() *State {
-	return &State{Targets: make(map[string]Target), Retirements: make(map[string]Retirement)}
+	return &State{Targets: make(map[string]Target), Changed: make(map[string]uint64), Retirements: make(map[string]Retirement)}
 }
 
 // Apply executes a committed command; index is its position in the log.
@@ -163,21 +169,26 @@
 	if !s.Changes(t) {
 		return
 	}
-	s.Targets[t.ID] = t
+	s.setTarget(index, t)
 	s.Revision = index
 	for id, o := range s.Targets {
 		if o.Address == t.Address && id != t.ID && o.Born < t.Born && o.State != Gone {
 			o.State = Gone
-			s.Targets[id] = o
+			s.setTarget(index, o)
 		}
 	}
-	s.forgetOldest()
+	s.forgetOldest(index)
+}
+
+func (s *State) setTarget(index uint64, t Target) {
+	s.Targets[t.ID] = t
+	s.Changed[t.ID] = index
 }
 
 // maxGone bounds the remembered targets that have left.
 const maxGone = 512
 
-func (s *State) forgetOldest() {
+func (s *State) forgetOldest(index uint64) {
 	var gone []Target
 	for _, t := range s.Targets {
 		if t.State == Gone {
@@ -198,7 +209,25 @@
 	})
 	for _, t := range gone[:len(gone)-maxGone] {
 		delete(s.Targets, t.ID)
+		delete(s.Changed, t.ID)
 	}
+	s.Forgotten = index
+}
+
+// TargetsSince returns the targets that changed after a revision, also those
+// that have left since, or false if it does not know all of them.
+func (s *State) TargetsSince(revision uint64) ([]Target, bool) {
+	if revision == 0 || revision < s.Forgotten || revision > s.Revision {
+		return nil, false
+	}
+	var changed []Target
+	for id, at := range s.Changed {
+		if at > revision {
+			changed = append(changed, s.Targets[id])
+		}
+	}
+	slices.SortFunc(changed, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	return changed, true
 }
 
 // Live returns the targets that have not left, ordered by id.
@@ -221,6 +250,14 @@
 	if err := json.Unmarshal(data, restored); err != nil {
 		return fmt.Errorf("catalog snapshot: %w", err)
 	}
+	if len(restored.Changed) < len(restored.Targets) {
+		// A snapshot of an earlier version does not say when targets changed.
+		restored.Changed = make(map[string]uint64, len(restored.Targets))
+		for id := range restored.Targets {
+			restored.Changed[id] = restored.Revision
+		}
+		restored.Forgotten = restored.Revision
+	}
 	*s = *restored
 	return nil
 }
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -35,9 +35,7 @@
 	queues  map[string]*queue // by service
 	// programs are those under way.
 	programs programs
-	// used are the services that programs use, by the service at which they begin.
-	used    map[string]map[string]bool
-	medians map[string]*cachedMedian
+	medians  map[string]*cachedMedian
 	// quarantine holds back requests that crash targets.
 	quarantine quarantine
 	// shaped requests wait for their organisation's token.
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -305,6 +305,9 @@
 		"priority": c.request.Priority, "left_ms": c.request.TimeLeft.Milliseconds(), "running": load.Running, "waiting": load.Waiting, "slots": load.Slots,
 		"view": h.o.View().Revision, "waited_ms": r.Waited.Milliseconds(),
 	}
+	if t, ok := h.o.View().Target(r.Target); ok {
+		fields["near"] = t.DataCentre == c.request.DataCentre
+	}
 	if r.Target != "" {
 		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
 	} else {
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -60,6 +61,46 @@
 	return v.Targets[at], true
 }
 
+// with returns the view that an answer makes of this one.
+func (v *View) with(answer FetchResponse) (*View, error) {
+	next := &View{Revision: answer.Revision, Table: v.Table, Targets: answer.Targets, Stores: answer.Stores, configurationRevision: v.configurationRevision}
+	if answer.Partial {
+		next.Targets = mergeTargets(v.Targets, answer.Targets)
+	}
+	version := int64(0)
+	if v.Table != nil {
+		version = v.Table.Version()
+	}
+	c := answer.Configuration
+	if change := answer.Change; change != nil {
+		if change.From != version {
+			return nil, fmt.Errorf("change from version %d, holding %d", change.From, version)
+		}
+		made := change.Apply(v.Table.Configuration)
+		c = &made
+	}
+	if c != nil && c.Version > version {
+		next.Table = routing.NewTable(*c)
+		next.configurationRevision = answer.ConfigurationRevision
+	}
+	return next, nil
+}
+
+// mergeTargets replaces, adds and removes targets; all lists are ordered by id.
+func mergeTargets(old, changed []catalog.Target) []catalog.Target {
+	byID := make(map[string]catalog.Target, len(old)+len(changed))
+	for _, t := range slices.Concat(old, changed) {
+		byID[t.ID] = t
+	}
+	var live []catalog.Target
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		if t := byID[id]; t.State != catalog.Gone {
+			live = append(live, t)
+		}
+	}
+	return live
+}
+
 // FollowerOptions configure a follower.
 type FollowerOptions struct {
 	// Pool reaches control.
@@ -251,7 +292,7 @@
 	attempt, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var answer FetchResponse
-	err := f.o.Pool.Call(attempt, address, MethodFetch, FetchRequest{old.configurationRevision}, &answer)
+	err := f.o.Pool.Call(attempt, address, MethodFetch, FetchRequest{old.Revision, old.configurationRevision}, &answer)
 	if err != nil {
 		return err
 	}
@@ -264,20 +305,22 @@
 	if answer.Revision <= old.Revision {
 		return
 	}
-	next := &View{Revision: answer.Revision, Table: old.Table, Targets: answer.Targets, Stores: answer.Stores, configurationRevision: old.configurationRevision}
-	version := int64(0)
-	if old.Table != nil {
-		version = old.Table.Version()
+	next, err := old.with(answer)
+	if err != nil {
+		f.o.Log.WithFields(logrus.Fields{"event": "change_rejected", "revision": answer.Revision, "previous": old.Revision, "source": source}).WithError(err).Error("change does not apply; asking for all")
+		all := *old
+		all.configurationRevision = 0
+		f.view.Store(&all)
+		return
 	}
-	if c := answer.Configuration; c != nil && c.Version > version {
-		next.Table = routing.NewTable(*c)
-		next.configurationRevision = answer.ConfigurationRevision
-		version = c.Version
+	version := int64(0)
+	if next.Table != nil {
+		version = next.Table.Version()
 	}
 	f.view.Store(next)
 	f.o.Log.WithFields(logrus.Fields{
 		"event": "catalog_adopted", "revision": next.Revision, "previous": old.Revision, "version": version,
-		"targets": len(next.Targets), "stores": len(next.Stores), "source": source,
+		"targets": len(next.Targets), "stores": len(next.Stores), "partial": answer.Partial, "source": source,
 	}).Info("catalog adopted")
 	if f.o.OnChange != nil {
 		f.o.OnChange(next)
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -99,20 +99,33 @@
 	return d.Sum64()
 }
 
-// FetchRequest asks for the state.
+// ProposeRequest asks the leader to commit a command.
+type ProposeRequest struct {
+	// Command is encoded as in the log.
+	Command []byte `json:"command"`
+}
+
+// FetchRequest asks for what changed.
 type FetchRequest struct {
+	// Revision is the state that the caller holds; 0 for none.
+	Revision uint64 `json:"revision,omitempty"`
 	// ConfigurationRevision is the configuration that the caller holds.
-	ConfigurationRevision uint64 `json:"configuration_revision"`
+	ConfigurationRevision uint64 `json:"configuration_revision,omitempty"`
 }
 
-// FetchResponse is the state of the answering VM.
+// FetchResponse brings the caller to the state of the answering VM.
 type FetchResponse struct {
 	Revision              uint64 `json:"revision"`
 	ConfigurationRevision uint64 `json:"configuration_revision"`
-	// Configuration is nil if the caller holds it, or if there is none.
+	// Configuration is set if the caller needs all of it, Change if it needs
+	// only what changed; neither if it holds the newest one, or if there is none.
 	Configuration *routing.Configuration `json:"configuration,omitempty"`
-	Targets       []catalog.Target       `json:"targets"`
-	Stores        []catalog.Store        `json:"stores"`
+	Change        *routing.Change        `json:"change,omitempty"`
+	// Targets are those that changed after the caller's revision, also those
+	// that have left, if Partial is set; otherwise all that have not left.
+	Targets []catalog.Target `json:"targets,omitempty"`
+	Partial bool             `json:"partial,omitempty"`
+	Stores  []catalog.Store  `json:"stores"`
 }
 
 // RetireRequest names a store VM; State only asks how far its retirement is.
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -180,7 +180,7 @@
 
 // commit proposes a command here or at the leader.
 func (g *Registry) commit(ctx context.Context, c catalog.Command) error {
-	data, err := json.Marshal(c)
+	data, err := encodeCommand(c)
 	if err != nil {
 		return fmt.Errorf("encode command: %w", err)
 	}
@@ -193,7 +193,7 @@
 	case address == "":
 		return ErrUnavailable
 	default:
-		err = g.o.Pool.Call(ctx, address, MethodPropose, json.RawMessage(data), nil)
+		err = g.o.Pool.Call(ctx, address, MethodPropose, ProposeRequest{data}, nil)
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -203,9 +203,13 @@
 
 // handlePropose commits a follower's command.
 func (g *Registry) handlePropose(ctx context.Context, params json.RawMessage) (any, error) {
+	var r ProposeRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, rpc.Errorf("bad_request", "propose: %v", err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := g.o.Quorum.Propose(ctx, params); err != nil {
+	if _, err := g.o.Quorum.Propose(ctx, r.Command); err != nil {
 		return nil, rpc.Errorf(CodeUnavailable, "%v", err)
 	}
 	return struct{}{}, nil
@@ -278,15 +282,7 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, rpc.Errorf("bad_request", "fetch: %v", err)
 	}
-	var answer FetchResponse
-	g.o.Machine.read(func(s *catalog.State) {
-		answer = FetchResponse{Revision: s.Revision, ConfigurationRevision: s.ConfigurationRevision, Targets: s.Live(), Stores: s.Stores}
-		if s.ConfigurationRevision > r.ConfigurationRevision {
-			c := s.Configuration
-			answer.Configuration = &c
-		}
-	})
-	return answer, nil
+	return g.o.Machine.fetch(r), nil
 }
 
 // see records a VM's report; a report of an earlier incarnation is ignored.
