Answer fetches once, shorten raft messages, wait for a full disk

(2) Appends with the names of their fields were the largest part of the bytes between data centres. (3) A replica on a full disk ended its process every 0.55 s.

Control VMs keep the answers to fetches until the next change and the list of members for 50 ms. Raft packets are MessagePack in the RPC. A process waits until its data directory takes writes before it starts a replica.

--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -9,9 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
 )
 
 const (
@@ -143,7 +142,7 @@
 	switch k {
 	case kindOutcome:
 		var answer AdmitResponse
-		if err := msgpack.Unmarshal(payload, &answer); err != nil {
+		if err := compact.Unmarshal(payload, &answer); err != nil {
 			return err
 		}
 		q := question{answer.ID, answer.Attempt}
@@ -153,13 +152,13 @@
 		}
 	case kindDurable:
 		var d durable
-		if err := msgpack.Unmarshal(payload, &d); err != nil {
+		if err := compact.Unmarshal(payload, &d); err != nil {
 			return err
 		}
 		l.confirmed(d)
 	case kindNotLeader:
 		var n notLeader
-		if err := msgpack.Unmarshal(payload, &n); err != nil {
+		if err := compact.Unmarshal(payload, &n); err != nil {
 			return err
 		}
 		return n
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
 )
 
 const (
@@ -107,19 +107,19 @@
 		l.send(kindPong, nil)
 	case kindAdmit:
 		var r AdmitRequest
-		if err := msgpack.Unmarshal(payload, &r); err != nil {
+		if err := compact.Unmarshal(payload, &r); err != nil {
 			return err
 		}
 		h.admit(&call{request: r, link: l})
 	case kindConfirm:
 		var r ledger.Reserve
-		if err := msgpack.Unmarshal(payload, &r); err != nil {
+		if err := compact.Unmarshal(payload, &r); err != nil {
 			return err
 		}
 		h.confirm(r, l)
 	case kindDone:
 		var e End
-		if err := msgpack.Unmarshal(payload, &e); err != nil {
+		if err := compact.Unmarshal(payload, &e); err != nil {
 			return err
 		}
 		h.done(e)
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
 )
 
 // Machine is the replicated ledger of a store VM.
@@ -24,7 +24,7 @@
 // Apply executes a committed batch and returns which reservations fitted, as []bool.
 func (m *Machine) Apply(_ uint64, data []byte) any {
 	var c ledger.Command
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := compact.Unmarshal(data, &c); err != nil {
 		// Only this program writes the log, so this is a fault of its own; all replicas skip it alike.
 		return err
 	}
@@ -162,7 +162,7 @@
 }
 
 func (b *batcher) commit(ctx context.Context, c ledger.Command) ([]bool, error) {
-	data, err := marshal(c)
+	data, err := compact.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode batch: %w", err)
 	}
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -2,17 +2,15 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
 )
 
 // Preface begins a connection between an entry and a store VM. Every request
@@ -115,24 +113,12 @@
 
 var errMessageTooLarge = errors.New("message is too large")
 
-// marshal encodes structs as arrays without field names.
-func marshal(value any) ([]byte, error) {
-	var out bytes.Buffer
-	e := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(e)
-	e.Reset(&out)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	err := e.Encode(value)
-	return out.Bytes(), err
-}
-
 // encode appends a message with its length and kind.
 func encode(k kind, value any) ([]byte, error) {
 	var payload []byte
 	if value != nil {
 		var err error
-		if payload, err = marshal(value); err != nil {
+		if payload, err = compact.Marshal(value); err != nil {
 			return nil, fmt.Errorf("encode message %d: %w", k, err)
 		}
 	}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -25,6 +25,7 @@
 	"hemlockvale.dev/server/registry"
 	"hemlockvale.dev/server/rpc"
 	"hemlockvale.dev/server/settings"
+	"hemlockvale.dev/server/wal"
 )
 
 const (
@@ -36,6 +37,8 @@
 	reloadInterval = time.Second
 	// memoryShare is the part of the memory limit at which the collector works harder.
 	memoryShare = 0.6
+	// diskPause is the time between two attempts to use a disk that takes no writes.
+	diskPause = 300 * time.Millisecond
 	// closeTimeout bounds the end of what serves no caller.
 	closeTimeout = 500 * time.Millisecond
 )
@@ -213,8 +216,26 @@
 	return p.pool.To(address), nil
 }
 
+// awaitDisk returns once the data directory takes writes or ctx ends. A replica
+// on a full disk would end the process again and again.
+func (p *process) awaitDisk(ctx context.Context) {
+	full := false
+	for ctx.Err() == nil {
+		err := wal.Probe(p.Settings.Formation.DataDir)
+		if (err != nil) != full {
+			full = err != nil
+			p.Log.WithFields(logrus.Fields{"event": "storage", "writable": !full, "error": err}).Warn("data directory changed")
+		}
+		if err == nil {
+			return
+		}
+		time.Sleep(diskPause)
+	}
+}
+
 // startQuorum starts a replica that is named after its IP.
-func (p *process) startQuorum(sm quorum.StateMachine, initial []string) (*quorum.Quorum, error) {
+func (p *process) startQuorum(ctx context.Context, sm quorum.StateMachine, initial []string) (*quorum.Quorum, error) {
+	p.awaitDisk(ctx)
 	self := p.Settings.VM.RPCAddress
 	peers := make(map[string]string)
 	joining := true
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -35,7 +35,7 @@
 	if p.Settings.Formation.FirstStart {
 		initial = p.seeds()
 	}
-	q, err := p.startQuorum(machine, initial)
+	q, err := p.startQuorum(ctx, machine, initial)
 	if err != nil {
 		return err
 	}
@@ -96,7 +96,7 @@
 	})
 	go follower.Run(duties)
 	machine := ledger.NewMachine()
-	q, err := p.startQuorum(machine, p.storeMembers(ctx, follower))
+	q, err := p.startQuorum(ctx, machine, p.storeMembers(ctx, follower))
 	if err != nil {
 		return err
 	}
--- a/server/quorum/transport.go
+++ b/server/quorum/transport.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/raft"
+	"hemlockvale.dev/server/compact"
 	"hemlockvale.dev/server/rpc"
 )
 
@@ -28,11 +29,33 @@
 )
 
 // packet is a message with its sender's address, so that a replica can answer
-// a leader that its settings do not name.
+// a leader that its settings do not name. Appends are the most frequent messages
+// between data centres, so a packet travels as a string of compact bytes in the RPC.
 type packet struct {
-	raft.Message
+	Message raft.Message
 	// FromAddress is where the sender answers RPCs.
-	FromAddress string `json:"from_address"`
+	FromAddress string
+}
+
+// compactPacket has the fields of a packet without its JSON form.
+type compactPacket packet
+
+// MarshalJSON implements json.Marshaler.
+func (p packet) MarshalJSON() ([]byte, error) {
+	data, err := compact.Marshal(compactPacket(p))
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(data)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *packet) UnmarshalJSON(text []byte) error {
+	var data []byte
+	if err := json.Unmarshal(text, &data); err != nil {
+		return err
+	}
+	return compact.Unmarshal(data, (*compactPacket)(p))
 }
 
 // transport sends messages to peers.
@@ -189,15 +212,15 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, rpc.Errorf("bad_request", "raft message: %v", err)
 	}
-	if p.To != q.id {
-		return nil, rpc.Errorf("wrong_replica", "message for %s reached %s", p.To, q.id)
+	if p.Message.To != q.id {
+		return nil, rpc.Errorf("wrong_replica", "message for %s reached %s", p.Message.To, q.id)
 	}
 	select {
 	case <-q.stopped:
 		return nil, rpc.Errorf("stopped", "replica %s is stopped", q.id)
 	default:
 	}
-	q.peers.learn(p.From, p.FromAddress)
+	q.peers.learn(p.Message.From, p.FromAddress)
 	select {
 	case q.inputs <- input{event: raft.Receive{Message: p.Message}}:
 		return struct{}{}, nil
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -62,7 +62,7 @@
 }
 
 // with returns the view that an answer makes of this one.
-func (v *View) with(answer FetchResponse) (*View, error) {
+func (v *View) with(answer Transfer) (*View, error) {
 	next := &View{Revision: answer.Revision, Table: v.Table, Targets: answer.Targets, Stores: answer.Stores, configurationRevision: v.configurationRevision}
 	if answer.Partial {
 		next.Targets = mergeTargets(v.Targets, answer.Targets)
@@ -296,12 +296,16 @@
 	if err != nil {
 		return err
 	}
-	f.adopt(old, answer, address)
+	transfer, err := answer.transfer()
+	if err != nil {
+		return err
+	}
+	f.adopt(old, transfer, address)
 	return nil
 }
 
 // adopt never goes back to an earlier revision or configuration.
-func (f *Follower) adopt(old *View, answer FetchResponse, source string) {
+func (f *Follower) adopt(old *View, answer Transfer, source string) {
 	if answer.Revision <= old.Revision {
 		return
 	}
--- a/server/registry/machine.go
+++ b/server/registry/machine.go
@@ -13,6 +13,8 @@
 	state *catalog.State
 	// changed is closed when the revision increases.
 	changed chan struct{}
+	// packed are the answers to fetches at the present revision.
+	packed map[FetchRequest]FetchResponse
 	// former are configurations that were in force since this process started, oldest first.
 	former []formerConfiguration
 }
@@ -27,7 +29,7 @@
 const maxFormer = 12
 
 func newMachine() *machine {
-	return &machine{state: catalog.New(), changed: make(chan struct{})}
+	return &machine{state: catalog.New(), changed: make(chan struct{}), packed: make(map[FetchRequest]FetchResponse)}
 }
 
 // Apply executes a committed command.
@@ -50,12 +52,25 @@
 	return nil
 }
 
-// fetch returns what a VM needs that holds the requested state.
-func (m *machine) fetch(r FetchRequest) FetchResponse {
+// fetch returns what a VM needs that holds the requested state. After a restart
+// or a change all VMs ask for the same, so answers are kept until the next change.
+func (m *machine) fetch(r FetchRequest) (FetchResponse, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if answer, known := m.packed[r]; known {
+		return answer, nil
+	}
+	answer, err := packTransfer(m.transfer(r))
+	if err == nil {
+		m.packed[r] = answer
+	}
+	return answer, err
+}
+
+// transfer is what brings a VM to the present state; m.mu is held.
+func (m *machine) transfer(r FetchRequest) Transfer {
 	s := m.state
-	answer := FetchResponse{Revision: s.Revision, ConfigurationRevision: s.ConfigurationRevision, Stores: s.Stores}
+	answer := Transfer{Revision: s.Revision, ConfigurationRevision: s.ConfigurationRevision, Stores: s.Stores}
 	if answer.Targets, answer.Partial = s.TargetsSince(r.Revision); !answer.Partial {
 		answer.Targets = s.Live()
 	}
@@ -106,6 +121,7 @@
 
 func (m *machine) wake(before uint64) {
 	if m.state.Revision != before {
+		clear(m.packed)
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
--- a/server/registry/machine_test.go
+++ b/server/registry/machine_test.go
@@ -30,6 +30,14 @@
 	}}
 }
 
+func fetched(t require.TestingT, m *machine, r FetchRequest) Transfer {
+	answer, err := m.fetch(r)
+	require.NoError(t, err)
+	transfer, err := answer.transfer()
+	require.NoError(t, err)
+	return transfer
+}
+
 // Guards against a VM that misses or keeps anything because control sends only
 // what changed: after each transfer, from whichever replica, its view is that
 // of a VM which received everything.
@@ -53,9 +61,9 @@
 				continue
 			}
 			m := rapid.SampledFrom(replicas).Draw(t, "from")
-			view, err = view.with(m.fetch(FetchRequest{view.Revision, view.configurationRevision}))
+			view, err = view.with(fetched(t, m, FetchRequest{view.Revision, view.configurationRevision}))
 			require.NoError(t, err)
-			all, err := (&View{}).with(m.fetch(FetchRequest{}))
+			all, err := (&View{}).with(fetched(t, m, FetchRequest{}))
 			require.NoError(t, err)
 			assert.Equal(t, all.Targets, view.Targets)
 			assert.Equal(t, all.configurationRevision, view.configurationRevision)
@@ -83,9 +91,9 @@
 	}
 	apply(1, 100)
 	apply(2, 200)
-	all, err := json.Marshal(m.fetch(FetchRequest{}))
+	all, err := json.Marshal(fetched(t, m, FetchRequest{}))
 	require.NoError(t, err)
-	change, err := json.Marshal(m.fetch(FetchRequest{Revision: 1, ConfigurationRevision: 1}))
+	change, err := json.Marshal(fetched(t, m, FetchRequest{Revision: 1, ConfigurationRevision: 1}))
 	require.NoError(t, err)
 	assert.Less(t, len(change), len(all)/50)
 }
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"encoding/json"
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hemlockvale.dev/coord/catalog"
@@ -113,8 +116,13 @@
 	ConfigurationRevision uint64 `json:"configuration_revision,omitempty"`
 }
 
-// FetchResponse brings the caller to the state of the answering VM.
+// FetchResponse carries a Transfer as compressed JSON.
 type FetchResponse struct {
+	Packed []byte `json:"packed"`
+}
+
+// Transfer brings a VM to the state of the one that made it.
+type Transfer struct {
 	Revision              uint64 `json:"revision"`
 	ConfigurationRevision uint64 `json:"configuration_revision"`
 	// Configuration is set if the caller needs all of it, Change if it needs
@@ -128,6 +136,28 @@
 	Stores  []catalog.Store  `json:"stores"`
 }
 
+func packTransfer(t Transfer) (FetchResponse, error) {
+	data, err := json.Marshal(t)
+	if err != nil {
+		return FetchResponse{}, err
+	}
+	packed, err := compress(data)
+	return FetchResponse{packed}, err
+}
+
+// transfer unpacks the answer.
+func (r FetchResponse) transfer() (Transfer, error) {
+	var t Transfer
+	data, err := decompress(r.Packed)
+	if err == nil {
+		err = json.Unmarshal(data, &t)
+	}
+	if err != nil {
+		return t, fmt.Errorf("transfer: %w", err)
+	}
+	return t, nil
+}
+
 // RetireRequest names a store VM; State only asks how far its retirement is.
 type RetireRequest struct {
 	Node  string `json:"node"`
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -38,6 +38,8 @@
 	// control VM stays bounded while a frozen entry is soon noticed.
 	minWatch   = 300 * time.Millisecond
 	watchPerVM = 9 * time.Millisecond
+	// membersInterval is how long the list of members is used.
+	membersInterval = 50 * time.Millisecond
 	// missedWatches and reportSlack make up the silence after which a VM is not listed any more.
 	missedWatches = 2
 	reportSlack   = 250 * time.Millisecond
@@ -82,6 +84,15 @@
 	vms map[string]*sighting
 	// firstStore is when the first store VM reported.
 	firstStore time.Time
+	// known are the members as computed last.
+	known knownMembers
+}
+
+// knownMembers are the members at a time.
+type knownMembers struct {
+	Members
+	digest uint64
+	at     time.Time
 }
 
 // sighting is the newest report of a VM.
@@ -246,14 +257,30 @@
 		revision, _ = g.o.Machine.revision()
 	}
 	answer := WatchResponse{Revision: revision}
-	members := Members{Control: g.controlAddresses()}
-	members.StoreLeader, members.Stores = g.stores()
-	if members.digest() != r.Members {
+	if members, digest := g.members(); digest != r.Members {
 		answer.Members = &members
 	}
 	return answer, nil
 }
 
+// members returns the members and their digest. They are asked for with each
+// watch, and computed a few times a second.
+func (g *Registry) members() (Members, uint64) {
+	g.mu.Lock()
+	known := g.known
+	g.mu.Unlock()
+	if time.Since(known.at) < membersInterval {
+		return known.Members, known.digest
+	}
+	members := Members{Control: g.controlAddresses()}
+	members.StoreLeader, members.Stores = g.stores()
+	known = knownMembers{members, members.digest(), time.Now()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.known = known
+	return known.Members, known.digest
+}
+
 // watchTime returns how long a watch is kept waiting.
 func (g *Registry) watchTime() time.Duration {
 	g.mu.Lock()
@@ -282,7 +309,7 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, rpc.Errorf("bad_request", "fetch: %v", err)
 	}
-	return g.o.Machine.fetch(r), nil
+	return g.o.Machine.fetch(r)
 }
 
 // see records a VM's report; a report of an earlier incarnation is ignored.
