--- a/coord/dispatch/experience.go
+++ b/coord/dispatch/experience.go
@@ -59,6 +59,15 @@
 	e.unitTime += (each - e.unitTime) * weight
 }
 
+// requestTime returns the average time of a request of a plain service in
+// seconds, or 0 while too few have ended.
+func (e *experience) requestTime() float64 {
+	if e.samples < minSamples {
+		return 0
+	}
+	return e.unitTime
+}
+
 // decay is how much the averages still count.
 func (e *experience) decay(now time.Duration) float64 {
 	return math.Exp2(-float64(now-e.at) / float64(experienceHalfLife))
--- a/coord/dispatch/overload_test.go
+++ b/coord/dispatch/overload_test.go
@@ -203,3 +203,61 @@
 		assert.Less(t, float64(l.failed)/programs, 0.02, "seed %d", seed+1)
 	}
 }
+
+// busyTarget is a target with slots and a queue of its own, at a distance.
+type busyTarget struct {
+	l       *loop
+	free    int
+	waiting []string
+	ended   int
+}
+
+// wayTime is the time of a message between an entry, the dispatcher and a target.
+const wayTime = 1500 * time.Microsecond
+
+// run begins what the target may run; each end is reported and answered by the next request.
+func (b *busyTarget) run() {
+	for b.free > 0 && len(b.waiting) > 0 {
+		id := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		b.free--
+		took := time.Duration(b.l.random.ExpFloat64() * float64(callTime))
+		b.l.at(b.l.now+took, func() {
+			b.free++
+			b.ended++
+			b.run()
+			b.l.at(b.l.now+2*wayTime, func() { b.send(b.l.d.Done(b.l.now, id, "t0", Completed, 1)) })
+		})
+	}
+}
+
+// send brings granted requests to the target.
+func (b *busyTarget) send(out []Outcome) {
+	for _, o := range out {
+		if o.Target != "" {
+			b.l.at(b.l.now+2*wayTime, func() {
+				b.waiting = append(b.waiting, o.ID)
+				b.run()
+			})
+		}
+	}
+}
+
+// Pattern: a plain service at its capacity, some milliseconds away. Guards
+// against slots that are idle while an end is reported and the next request is
+// on its way: a service that could carry its load would seem too small.
+func TestSlotsStayBusyAtCapacity(t *testing.T) {
+	const slots, length = 6, 10 * time.Second
+	l := newLoop(1, slots)
+	b := &busyTarget{l: l, free: slots}
+	for i := range 4000 {
+		r := request(fmt.Sprint("r", i))
+		r.TimeLeft = time.Minute
+		l.at(0, func() { b.send([]Outcome{l.d.Admit(0, r)}) })
+	}
+	l.at(length, func() { l.events = nil })
+	l.run(nil)
+	most := slots * length.Seconds() / callTime.Seconds()
+	assert.Less(t, most, 4000.0, "requests are left at the end")
+	assert.Greater(t, float64(b.ended), 0.97*most)
+}
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -17,6 +18,11 @@
 	engineShare = 0.6
 	// waitingShare is the part of a target's slots (one in so many) that may wait at the target.
 	waitingShare = 6
+	// turnaround is the time from an end at a target until the next request
+	// arrives there, over the entry and the dispatcher. endsHeadroom is for how
+	// many times the mean number of ends in that time a target holds requests.
+	turnaround   = 6 * time.Millisecond
+	endsHeadroom = 2.5
 	// brokenLimit is the number of broken answers in a row that make a target suspect.
 	brokenLimit = 3
 )
@@ -55,10 +61,15 @@
 
 // limit is how many requests the target may hold. A few wait at the target
 // itself, so that its slots are not idle while an end is reported and the next
-// request is on its way.
+// request is on its way: at a plain service with short requests, several end in
+// that time.
 func (t *target) limit() int {
 	slots := max(t.Slots, 1)
-	return slots + max(1, slots/waitingShare)
+	ahead := max(1, slots/waitingShare)
+	if each := t.experience.requestTime(); t.KVCapacity == 0 && each > 0 {
+		ahead = max(ahead, min(int(math.Ceil(endsHeadroom*float64(slots)*turnaround.Seconds()/each)), slots))
+	}
+	return slots + ahead
 }
 
 // targetKind ranks targets for one request; lower is better.
