Refuse hopeless requests at once while a backlog stays

The estimate of their wait left out the requests that go first and arrive later.

While a backlog stays, the estimate divides by what requests of programs in time leave of the service, with a factor of four, since this comes in bursts. The model's target now has slots of its own; before, a larger limit of waiting requests made it faster.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 			return o
 		}
 	}
-	if wait := q.expectedWait(w); wait > r.TimeLeft {
+	if wait := q.expectedWait(now, w); wait > r.TimeLeft {
 		d.uncharge(r.Organisation)
 		return Outcome{ID: r.ID, Refusal: Overloaded, RetryAfter: d.spread(wait - r.TimeLeft)}
 	}
--- a/coord/dispatch/overload_test.go
+++ b/coord/dispatch/overload_test.go
@@ -16,10 +16,15 @@
 	random *rand.Rand
 	now    time.Duration
 	events []event
+	// free are the target's free slots; atTarget are the ends of the calls that wait there.
+	free     int
+	atTarget []func()
 	// asking holds the programs whose call has no outcome yet, by request id.
 	asking map[string]*testProgram
 	// inTime, late and failed count the programs that have ended.
 	inTime, late, failed int
+	// refusals counts refused calls by reason.
+	refusals map[Refusal]int
 	// countFrom leaves out programs that began earlier.
 	countFrom time.Duration
 }
@@ -56,7 +61,7 @@
 )
 
 func newLoop(seed uint64, slots int) *loop {
-	l := &loop{d: New(0, seed), random: rand.New(rand.NewPCG(seed, 2)), asking: make(map[string]*testProgram)}
+	l := &loop{d: New(0, seed), free: slots, random: rand.New(rand.NewPCG(seed, 2)), asking: make(map[string]*testProgram), refusals: make(map[Refusal]int)}
 	l.d.SetTargets(0, targets(1, slots))
 	return l
 }
@@ -90,18 +95,34 @@
 		case o.Waiting():
 		case o.Refusal != "":
 			delete(l.asking, o.ID)
+			l.refusals[o.Refusal]++
 			l.refused(p, o)
 		default:
 			delete(l.asking, o.ID)
-			took := time.Duration((0.5 + l.random.Float64()) * float64(callTime))
-			l.at(l.now+took, func() {
+			l.atTarget = append(l.atTarget, func() {
+				l.free++
 				l.handle(l.d.Done(l.now, o.ID, o.Target, Completed, 1))
 				l.ended(p)
 			})
+			l.work()
 		}
 	}
 }
 
+// work lets the target begin what has a slot.
+func (l *loop) work() {
+	for l.free > 0 && len(l.atTarget) > 0 {
+		done := l.atTarget[0]
+		l.atTarget = l.atTarget[1:]
+		l.free--
+		took := time.Duration((0.5 + l.random.Float64()) * float64(callTime))
+		l.at(l.now+took, func() {
+			done()
+			l.work()
+		})
+	}
+}
+
 // refused lets the caller of a refused call come back.
 func (l *loop) refused(p *testProgram, o Outcome) {
 	p.tries++
@@ -183,7 +204,7 @@
 func TestStandingBacklogIsGivenUp(t *testing.T) {
 	for seed := range uint64(5) {
 		l := newLoop(seed+1, 6)
-		capacity := float64(l.d.targets["t0"].limit()) / callTime.Seconds() / meanCalls // programs a second
+		capacity := 6 / callTime.Seconds() / meanCalls // programs a second
 		l.countFrom = 16 * time.Second
 		arrivals := append(l.arrivals(0, 24*time.Second, 0.92*capacity), l.arrivals(5*time.Second, 6*time.Second, 1.5*capacity)...)
 		l.run(arrivals)
@@ -197,7 +218,7 @@
 func TestPassingBacklogIsServed(t *testing.T) {
 	for seed := range uint64(5) {
 		l := newLoop(seed+1, 6)
-		capacity := float64(l.d.targets["t0"].limit()) / callTime.Seconds() / meanCalls
+		capacity := 6 / callTime.Seconds() / meanCalls
 		l.run(append(l.arrivals(0, 12*time.Second, 0.5*capacity), l.arrivals(3*time.Second, 5*time.Second, capacity)...))
 		programs := float64(l.inTime + l.late + l.failed)
 		assert.Less(t, float64(l.failed)/programs, 0.02, "seed %d", seed+1)
@@ -261,3 +282,12 @@
 	assert.Less(t, most, 4000.0, "requests are left at the end")
 	assert.Greater(t, float64(b.ended), 0.97*most)
 }
+
+// Pattern: a backlog that stays. Guards against late requests that wait until
+// their callers' time is over although the service gives them nothing.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	l := newLoop(1, 6)
+	capacity := 6 / callTime.Seconds() / meanCalls
+	l.run(append(l.arrivals(0, 20*time.Second, 1.1*capacity), l.arrivals(2*time.Second, 4*time.Second, capacity)...))
+	assert.Greater(t, l.refusals[Overloaded], 10*l.refusals[Expired], "%v", l.refusals)
+}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -26,6 +26,11 @@
 	// backlogBegins and backlogGone are the times of work that begin and end a backlog.
 	backlogBegins = 150 * time.Millisecond
 	backlogGone   = 50 * time.Millisecond
+	// minLeft is the part of a service that those put back are taken to have at least.
+	minLeft = 0.05
+	// doubt is how many times longer a request that is put back is taken to
+	// wait, because what the others leave comes in bursts.
+	doubt = 4
 	// rateWindow smooths measured rates.
 	rateWindow = time.Second
 )
@@ -82,8 +87,9 @@
 type queue struct {
 	// waiting is ordered by rank.
 	waiting []*waiting
-	// completions measures what the service ends.
-	completions meter
+	// completions measures what the service ends, inTime the requests of
+	// programs that can end in time.
+	completions, inTime meter
 	// backlogSince is when the backlog began; 0 without one.
 	backlogSince time.Duration
 }
@@ -109,19 +115,27 @@
 	}
 }
 
+// stays says whether the backlog has not passed by itself.
+func (q *queue) stays(now time.Duration) bool {
+	return q.backlogSince != 0 && now > q.backlogSince+transientBacklog
+}
+
 // behindDelay is how far the queue puts back each step of standing.
 func (q *queue) behindDelay(now time.Duration) time.Duration {
-	if q.backlogSince == 0 {
+	if !q.stays(now) {
 		return behindDelay
 	}
 	age := now - q.backlogSince - transientBacklog
-	return behindDelay + min(max(age, 0)/backlogSlope, standingDelay-behindDelay)
+	return behindDelay + min(age/backlogSlope, standingDelay-behindDelay)
 }
 
 // rank gives a request its place in the queue.
 func (q *queue) rank(now time.Duration, w *waiting) {
 	q.observe(now)
 	w.rank = w.since + w.delay(q.behindDelay(now))
+	if w.standing == onTrack {
+		q.inTime.add(now)
+	}
 }
 
 // add keeps the queue ordered by rank.
@@ -135,15 +149,22 @@
 	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
-// expectedWait estimates when a request would run.
-func (q *queue) expectedWait(w *waiting) time.Duration {
+// expectedWait estimates when a request would run. While a backlog stays, a
+// request that is put back also waits for those that go first and have not
+// arrived yet: it gets what they leave.
+func (q *queue) expectedWait(now time.Duration, w *waiting) time.Duration {
 	ahead := 0
 	for _, other := range q.waiting {
 		if other.rank <= w.rank {
 			ahead++
 		}
 	}
-	return q.timeFor(ahead)
+	wait := q.timeFor(ahead)
+	if w.standing == onTrack || !q.stays(now) {
+		return wait
+	}
+	left := 1 - q.inTime.rate/max(q.completions.rate, 1)
+	return time.Duration(doubt * float64(wait) / max(left, minLeft))
 }
 
 // run grants waiting requests of a service in order while targets are free.
