--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -50,15 +50,14 @@
 }
 
 func newWaiting(now time.Duration, r Request, p *program) *waiting {
-	w := &waiting{request: r, program: p, standing: p.standing(now, &r), since: now, token: now, expires: now + r.TimeLeft}
-	return w
+	return &waiting{request: r, program: p, standing: p.standing(now, &r), since: now, token: now, expires: now + r.TimeLeft}
 }
 
-// delay is by how much the request is put behind: a step for what its program
-// can no longer reach, by priority, then by the time that the program has left. A service
-// that is at its capacity thus keeps the programs in time that can be; in order
-// of arrival all of them would be late. The delay is bounded, so that nothing
-// waits for ever.
+// delay is by how much the request is put behind: by steps for what its program
+// can no longer reach, by priority, then by the time that the program has left.
+// A service at its capacity thus keeps those programs in time that can be; in
+// order of arrival all of them would be late. The delay is bounded, so that
+// nothing waits for ever.
 func (w *waiting) delay(step time.Duration) time.Duration {
 	route := w.request.RoutePriority
 	if w.program != nil {
