Use one function for the live targets and one for a view's version

The transfer of changes had written again what catalog.State.Live does, and two functions each worked out the version of a view that may have no table. No change of behaviour; tests of catalog and registry pass unchanged.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -231,10 +231,13 @@
 }
 
 // Live returns the targets that have not left, ordered by id.
-func (s *State) Live() []Target {
+func (s *State) Live() []Target { return Live(s.Targets) }
+
+// Live returns those of the targets, by id, that have not left, ordered by id.
+func Live(targets map[string]Target) []Target {
 	var live []Target
-	for _, id := range slices.Sorted(maps.Keys(s.Targets)) {
-		if t := s.Targets[id]; t.State != Gone {
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		if t := targets[id]; t.State != Gone {
 			live = append(live, t)
 		}
 	}
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -61,16 +61,21 @@
 	return v.Targets[at], true
 }
 
+// version returns the version of the configuration in force; 0 before the first one.
+func (v *View) version() int64 {
+	if v.Table == nil {
+		return 0
+	}
+	return v.Table.Version()
+}
+
 // with returns the view that an answer makes of this one.
 func (v *View) with(answer Transfer) (*View, error) {
 	next := &View{Revision: answer.Revision, Table: v.Table, Targets: answer.Targets, Stores: answer.Stores, configurationRevision: v.configurationRevision}
 	if answer.Partial {
 		next.Targets = mergeTargets(v.Targets, answer.Targets)
 	}
-	version := int64(0)
-	if v.Table != nil {
-		version = v.Table.Version()
-	}
+	version := v.version()
 	c := answer.Configuration
 	if change := answer.Change; change != nil {
 		if change.From != version {
@@ -86,19 +91,13 @@
 	return next, nil
 }
 
-// mergeTargets replaces, adds and removes targets; all lists are ordered by id.
+// mergeTargets replaces, adds and removes targets; the result is ordered by id.
 func mergeTargets(old, changed []catalog.Target) []catalog.Target {
 	byID := make(map[string]catalog.Target, len(old)+len(changed))
 	for _, t := range slices.Concat(old, changed) {
 		byID[t.ID] = t
 	}
-	var live []catalog.Target
-	for _, id := range slices.Sorted(maps.Keys(byID)) {
-		if t := byID[id]; t.State != catalog.Gone {
-			live = append(live, t)
-		}
-	}
-	return live
+	return catalog.Live(byID)
 }
 
 // FollowerOptions configure a follower.
@@ -317,13 +316,9 @@
 		f.view.Store(&all)
 		return
 	}
-	version := int64(0)
-	if next.Table != nil {
-		version = next.Table.Version()
-	}
 	f.view.Store(next)
 	f.o.Log.WithFields(logrus.Fields{
-		"event": "catalog_adopted", "revision": next.Revision, "previous": old.Revision, "version": version,
+		"event": "catalog_adopted", "revision": next.Revision, "previous": old.Revision, "version": next.version(),
 		"targets": len(next.Targets), "stores": len(next.Stores), "partial": answer.Partial, "source": source,
 	}).Info("catalog adopted")
 	if f.o.OnChange != nil {
