forward: a run stays possible once a target may have run a request; bound bytes that are no answer

Cause: a "not run" of a second target cleared mayHaveRun that the first one had set, so a later 429 or 503 could be untrue. The flag now only rises. Second cause: net/http reads heads of any length, the discarded body of a not-run or foreign response had no bound, and a stream's line without an end was collected without a bound.

Ruled out: chunk sizes, chunk extensions, trailers, informational and foreign responses without end are bounded by the library or by maxResponsesRead.

Bytes of callers and operators are open.

--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -39,6 +39,12 @@
 	// maxResponsesRead bounds the responses that are read from a connection in search
 	// of the response to one request.
 	maxResponsesRead = 4
+	// maxHeadBytes bounds the status line and the headers of one response.
+	maxHeadBytes = 64 << 10
+	// maxDiscardBytes and discardTimeout bound the rest of a response that is read only to
+	// keep its connection.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
 	// bodyWriteTimeout is how long a completed exchange waits for the rest of the
 	// request body to be written before the connection is closed instead of kept.
 	bodyWriteTimeout = 200 * time.Millisecond
@@ -47,13 +53,42 @@
 	tcpUserTimeout = 3 * time.Second
 )
 
-// errNotSent is returned if no byte of the request was sent.
-var errNotSent = errors.New("request was not sent")
+var (
+	// errNotSent is returned if no byte of the request was sent.
+	errNotSent = errors.New("request was not sent")
+	// errHeadTooLarge is returned for a response whose head exceeds maxHeadBytes.
+	errHeadTooLarge = errors.New("head of the response is too large")
+	// errDiscardTooLarge is returned for a response that is not worth reading to its end.
+	errDiscardTooLarge = errors.New("discarded response is too large")
+)
+
+// headLimiter bounds the bytes that are read from a connection while limited is set.
+// net/http reads heads of any length.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+// Read returns errHeadTooLarge once the limit is reached.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
 
 // conn is a connection to one incarnation of a target.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limiter is the source of reader.
+	limiter *headLimiter
 	// idleUntil is the time after which an idle connection is not reused.
 	idleUntil time.Time
 	// writeDone is closed when the request body has been written or has failed with
@@ -92,7 +127,8 @@
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limiter := &headLimiter{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
@@ -239,7 +275,7 @@
 func (c *conn) receive(r *targetRequest, codec HeaderCodec) (*http.Response, ResponseInfo, error) {
 	request := &http.Request{Method: r.method}
 	for range maxResponsesRead {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
@@ -250,9 +286,29 @@
 		if info.ID == r.id || info.ID == "" {
 			return response, info, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := c.discard(response.Body); err != nil {
 			return nil, ResponseInfo{}, err
 		}
 	}
 	return nil, ResponseInfo{}, errors.New("received only responses to other requests")
 }
+
+// readHead reads the status line and the headers of the next response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.limiter.limited, c.limiter.left = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
+	return http.ReadResponse(c.reader, request)
+}
+
+// discard reads a body to its end, so that the connection can be kept. It fails if the
+// body is long or arrives slowly.
+func (c *conn) discard(body io.Reader) error {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	if err == nil && n == maxDiscardBytes {
+		err = errDiscardTooLarge
+	}
+	return errors.Join(err, c.SetReadDeadline(time.Time{}))
+}
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -139,8 +139,8 @@
 	confirmation    chan error
 	attempt         int
 	excludedTargets []string
-	// mayHaveRun is set when the request is sent to a target, and cleared if the target
-	// reports that it did not run the request.
+	// mayHaveRun is set when a target gets the request and does not report that it did
+	// not run it. It is never cleared: a later target knows nothing about an earlier one.
 	mayHaveRun bool
 	// events counts the data events of a stream that were relayed to the caller, and
 	// lastEventID is the id of the latest event that has one.
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -292,6 +292,20 @@
 	}
 }
 
+// TestNotRunAtASecondTargetDeniesNoRun guards against a "not run" status for a request
+// that its first target may have run, because a second target says that it did not.
+func TestNotRunAtASecondTargetDeniesNoRun(t *testing.T) {
+	notRun := responseText("503 Busy", "r", "Not-Run: 1\r\n", "")
+	for _, refusal := range []dispatch.Refusal{dispatch.OverRate, dispatch.Overloaded, ledgerhost.BudgetExhausted} {
+		first, second := startFakeTarget(t, "<cut>"), startFakeTarget(t, notRun)
+		l := &testLedger{targets: []string{first.address, second.address}, finalRefusal: refusal}
+		status, _, err := post(t, startEntry(t, l, true), "/again/x")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusBadGateway, status, string(refusal))
+		assert.Equal(t, "broken,not_run", l.results())
+	}
+}
+
 // TestUnsignedStreamIsNotRelayed guards against a stream without a signature that is
 // relayed as a success.
 func TestUnsignedStreamIsNotRelayed(t *testing.T) {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -123,18 +123,20 @@
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
-	x.mayHaveRun = true
 	if err != nil {
+		x.mayHaveRun = true
 		return dispatch.Broken, info, false, err
 	}
 	response, info, err := c.receive(out, x.entry.options.HeaderCodec)
+	if err != nil || !info.NotRun {
+		x.mayHaveRun = true
+	}
 	if err != nil {
 		return dispatch.Broken, info, false, err
 	}
 	reusable = !response.Close
 	if info.NotRun {
-		x.mayHaveRun = false
-		_, err = io.Copy(io.Discard, response.Body)
+		err = c.discard(response.Body)
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			return dispatch.WrongTarget, info, false, err
 		}
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -29,18 +29,14 @@
 func readEvent(r *bufio.Reader) (event, error) {
 	var e event
 	for {
-		line, err := r.ReadBytes('\n')
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return e, errEventTooLarge
-		}
-		if err != nil {
+		start := len(e.raw)
+		if err := e.appendLine(r); err != nil {
 			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return e, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(text) == 0 {
 			return e, nil
 		}
@@ -51,6 +47,21 @@
 	}
 }
 
+// appendLine reads one line with its ending. The event stays below maxEventBytes even if
+// the line never ends.
+func (e *event) appendLine(r *bufio.Reader) error {
+	for {
+		part, err := r.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
 // relayStream relays each event to the caller as it arrives, except those that the
 // caller already has.
 func (x *exchange) relayStream(response *http.Response) (dispatch.Result, error) {
