rpc, emulator: mend the two tests that failed now and then

Cause 1: jsonrpc2 fails the calls of a closed connection before it announces the disconnection, so the next call could get the same connection (TestSilentConnectionIsReplaced). A call that sees its connection closed now removes it from the pool.

Cause 2: the emulator took its first load sample with the first announcement, which can come after the first request (TestLagAndGaps). It is now taken when the engine is made.

--- a/server/emulator/engine.go
+++ b/server/emulator/engine.go
@@ -104,6 +104,9 @@
 	e.events = newEventBuffer(o.CacheEventLoss, o.Seed)
 	e.batch = batch{maxRunning: o.MaxBatch, cache: newPrefixCache(o.KVCapacity, e.events.add)}
 	e.orders = newOrderState(o.Models)
+	// Without a sample from before the first request, the first announcement could not
+	// lag behind it.
+	e.load.report(time.Now())
 	server.countUnfinished = e.unfinished
 	server.announcer = newAnnouncer(target.Announcement{
 		ID: o.ID, Incarnation: uuid.NewString(), Kind: "engine", Service: o.Service, Address: e.Address(),
--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -45,14 +45,15 @@
 	}
 	defer pe.release()
 	waiter, err := conn.DispatchCall(ctx, method, params)
-	if errors.Is(err, jsonrpc2.ErrClosed) {
-		return fmt.Errorf("%s: %w", address, ErrUnreachable)
-	}
-	if err != nil {
+	if err == nil {
+		err = waiter.Wait(ctx, result)
+	} else if !errors.Is(err, jsonrpc2.ErrClosed) {
 		return fmt.Errorf("%s: %w: %w", address, ErrConnectionLost, err)
 	}
-	err = waiter.Wait(ctx, result)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
+		// The library fails the calls of a lost connection before it announces the
+		// disconnection, so without discard the next call could get this connection.
+		pe.discard(conn)
 		return fmt.Errorf("%s: %w", address, ErrConnectionLost)
 	}
 	return decodeError(err)
@@ -188,6 +189,15 @@
 	return p.conn, nil
 }
 
+// discard makes sure that no later call uses conn, which has been closed.
+func (p *peer) discard(conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == conn {
+		p.conn = nil
+	}
+}
+
 // release records the end of a call that was counted by acquire.
 func (p *peer) release() {
 	p.mu.Lock()
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -75,6 +75,34 @@
 	require.NotErrorIs(t, err, ErrConnectionLost)
 }
 
+// TestFailedWriteHasUnknownOutcome guards against reporting a request as not sent although
+// a part of it was: the peer may have executed it.
+func TestFailedWriteHasUnknownOutcome(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	started := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.ReadFull(c, make([]byte, 64<<10))
+		close(started)
+		<-t.Context().Done()
+	}()
+	pool := NewPool(time.Second)
+	defer pool.Close()
+	go func() {
+		<-started
+		pool.Reset(l.Addr().String())
+	}()
+	err = pool.Call(t.Context(), l.Addr().String(), "echo", make([]byte, 16<<20), nil)
+	require.ErrorIs(t, err, ErrConnectionLost)
+	require.NotErrorIs(t, err, ErrUnreachable)
+}
+
 // TestSilentConnectionIsReplaced guards against calls that never end because their
 // connection stopped delivering data. The call must fail with an unknown outcome within
 // twice the silence timeout, and the next call must dial again.
