program: keep the last settled call over a renewal

Cause: startGeneration dropped lastSettled, so a settlement that came after a renewal was an unknown call and its target was never recorded for release. Before: the new case of TestDecisions fails; after: passes.

--- a/coord/program/table.go
+++ b/coord/program/table.go
@@ -257,11 +257,12 @@
 }
 
 // startGeneration resets an ended program to a new generation. Only the at-most-once
-// records and an unconfirmed release are carried over.
+// records, an unconfirmed release and the last settled call are carried over: a runner may
+// still report the target of that call.
 func (p *Program) startGeneration(index uint64) {
 	*p = Program{
 		ref: p.ref, generation: index, applied: p.applied, records: p.records, keepUntil: p.keepUntil,
-		releaseID: p.releaseID, releasing: p.releasing,
+		releaseID: p.releaseID, releasing: p.releasing, lastSettled: p.lastSettled,
 	}
 }
 
--- a/coord/program/table_test.go
+++ b/coord/program/table_test.go
@@ -127,6 +127,20 @@
 			h.finish(h.ticket(unkeyed), Unknown, 0)
 			h.refused(unkeyed, CodeOutcomeUnknown, ExecutedUnknown)
 		},
+		"a late settlement of a renewed program's call is recognised": func(t *testing.T, h *harness) {
+			ticket := h.ticket(keyedCall("p", "a"))
+			h.apply(Change{Settle: h.table.Program(ticket.Program).Abort(Unknown)})
+			h.end(ticket.Program)
+			h.run(keyedCall("p", "b"))
+			_, err := h.table.DecideFinish(FinishCall{Ticket: ticket, Outcome: Completed, Target: "t2"})
+			require.ErrorIs(t, err, ErrAlreadySettled)
+			next := h.ticket(keyedCall("p", "c"))
+			h.apply(Change{Settle: h.table.Program(next.Program).Abort(Unknown)})
+			h.end(next.Program)
+			h.ticket(keyedCall("p", "d"))
+			_, err = h.table.DecideFinish(FinishCall{Ticket: next, Outcome: Completed, Target: "t2"})
+			require.ErrorIs(t, err, ErrAlreadySettled, "before the first call of the new generation has ended")
+		},
 		"an idempotent call runs again after an unknown outcome": func(_ *testing.T, h *harness) {
 			h.finish(h.ticket(idempotent), Unknown, 0)
 			h.run(idempotent)
