registry, quorum: two retirements count each other, learners do not count

Cause: a retirement counted VMs that were being retired as remaining, two requests at once could both pass the check, and the store group counted learners, which may lack entries, as voters. Retirements are now checked and committed one at a time.

--- a/server/quorum/membership.go
+++ b/server/quorum/membership.go
@@ -28,9 +28,8 @@
 
 // MembershipPolicy controls how members are added and removed without an operator.
 type MembershipPolicy struct {
-	// MinVoters is the number of voters that must remain when a dead voter is removed. For
-	// a retired replica, the remaining members are counted, including learners. MinVoters
-	// is twice the number of tolerated losses plus one.
+	// MinVoters is the number of voters that must remain when a dead voter or a retired
+	// replica is removed. It is twice the number of tolerated losses plus one.
 	MinVoters int
 	// DeadAfter is the time without a response after which a member may be removed; 0
 	// means DefaultDeadAfter.
@@ -161,7 +160,7 @@
 	return retired
 }
 
-// Retire removes the replica at an address if at least MinVoters members remain, and
+// Retire removes the replica at an address if at least MinVoters voters remain, and
 // reports whether it is no longer a member. Until the process restarts, handleJoin does
 // not add a replica at this address again.
 func (q *Quorum) Retire(ctx context.Context, address string) (bool, error) {
@@ -175,7 +174,7 @@
 		if m.Address != address {
 			continue
 		}
-		if len(members)-1 < policy.MinVoters {
+		if votersWithout(members, address) < policy.MinVoters {
 			return false, nil
 		}
 		if err := q.RemoveVoter(ctx, m.ReplicaID); err != nil {
@@ -185,6 +184,18 @@
 	return true, nil
 }
 
+// votersWithout returns the number of voters at other addresses. Learners do not count:
+// they may lack committed entries.
+func votersWithout(members []MemberDescription, address string) int {
+	voters := 0
+	for _, m := range members {
+		if m.Address != address && !m.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
 // removeFailedMember removes at most one dead or replaced member.
 func (q *Quorum) removeFailedMember(ctx context.Context, policy MembershipPolicy) {
 	members := q.Describe().Members
--- a/server/quorum/membership_test.go
+++ b/server/quorum/membership_test.go
@@ -33,3 +33,14 @@
 		})
 	}
 }
+
+// TestLearnersDoNotReplaceARetiredVoter guards against the removal of a voter while the
+// replica that takes its place has not caught up.
+func TestLearnersDoNotReplaceARetiredVoter(t *testing.T) {
+	at := func(address string, learner bool) MemberDescription {
+		return MemberDescription{Voter: Voter{Address: address}, Learner: learner}
+	}
+	assert.Equal(t, 2, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", true)}, "a"))
+	assert.Equal(t, 3, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", false)}, "a"))
+	assert.Equal(t, 3, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", true)}, "d"))
+}
--- a/server/registry/retire.go
+++ b/server/registry/retire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -87,26 +88,44 @@
 	if err := g.options.Quorum.ReadBarrier(ctx); err != nil {
 		return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	var retirement catalog.Retirement
-	found := false
-	g.options.Machine.read(func(s *catalog.State) { retirement, found = s.Retirements[r.Node] })
-	if found {
+	// Two requests at once must not both count the other one's VM as remaining.
+	g.retireMu.Lock()
+	defer g.retireMu.Unlock()
+	var retirements map[string]catalog.Retirement
+	g.options.Machine.read(func(s *catalog.State) { retirements = maps.Clone(s.Retirements) })
+	if retirement, found := retirements[r.Node]; found {
 		return retirement.Done, nil
 	}
-	var vm *VM
-	stores := g.liveVMs("store")
-	for i := range stores {
-		if stores[i].Node == r.Node {
-			vm = &stores[i]
-		}
-	}
-	if vm == nil || r.StatusOnly {
+	if r.StatusOnly {
 		return false, ErrUnknownNode
 	}
-	if len(stores)-1 < 2*g.options.TolerateLosses+1 {
-		return false, ErrTooFewStores
+	address, err := checkRetirement(g.liveVMs("store"), retirements, r.Node, 2*g.options.TolerateLosses+1)
+	if err != nil {
+		return false, err
+	}
+	return false, g.commit(ctx, catalog.Command{Retire: &catalog.Retirement{Node: r.Node, Address: address}})
+}
+
+// checkRetirement returns the address of the store VM that is to be retired. It returns
+// ErrTooFewStores if fewer than wanted VMs that are not being retired would remain.
+func checkRetirement(stores []VM, retirements map[string]catalog.Retirement, node string, wanted int) (address string, err error) {
+	remaining := 0
+	for _, vm := range stores {
+		_, retiring := retirements[vm.Node]
+		switch {
+		case vm.Node == node:
+			address = vm.RPCAddress
+		case !retiring:
+			remaining++
+		}
+	}
+	switch {
+	case address == "":
+		return "", ErrUnknownNode
+	case remaining < wanted:
+		return "", ErrTooFewStores
 	}
-	return false, g.commit(ctx, catalog.Command{Retire: &catalog.Retirement{Node: r.Node, Address: vm.RPCAddress}})
+	return address, nil
 }
 
 // finishRetirements asks the store group to remove the replicas of VMs that are being
