--- /dev/null
+++ b/coord/history/directory.go
@@ -0,0 +1,269 @@
+package history
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// retentionFactor extends the time for which the directory remembers a turn, and
+	// copyFactor the time for which it has missing copies made, because clocks differ and
+	// may be set back.
+	retentionFactor = 3
+	copyFactor      = 2
+	// minRetentionSeconds is the shortest retention.
+	minRetentionSeconds = 60
+	// maxHolders bounds the holders of one turn that are recorded. It exceeds the number of
+	// copies that are made of a turn during its retention, because a VM that has been
+	// absent may be the last one with a copy.
+	maxHolders = 64
+)
+
+// Keep is a change that records which VMs hold a turn.
+type Keep struct {
+	Turn Turn `json:"t"`
+	// Holders are the storages that hold the record, or will hold it before the caller
+	// receives the end of the turn.
+	Holders []string `json:"h"`
+	// RetentionSeconds is how long the turn must be kept.
+	RetentionSeconds int64 `json:"r,omitempty"`
+	// Copied is set if the holders got copies of a turn that the directory knows.
+	Copied bool `json:"c,omitempty"`
+}
+
+// entry is what the directory knows about one turn.
+type entry struct {
+	Holders []string `json:"h"`
+	// KeptSeconds is the Unix time at which the turn was kept.
+	KeptSeconds      int64 `json:"k"`
+	RetentionSeconds int64 `json:"r"`
+}
+
+// expires returns the Unix time after which the turn is forgotten.
+func (e *entry) expires() int64 { return e.after(retentionFactor) }
+
+// needsCopies reports whether missing copies of the turn are still made.
+func (e *entry) needsCopies(unixSeconds int64) bool { return unixSeconds <= e.after(copyFactor) }
+
+// after returns the Unix time at which the given multiple of the retention has passed.
+func (e *entry) after(factor int64) int64 {
+	return e.KeptSeconds + factor*max(e.RetentionSeconds, minRetentionSeconds)
+}
+
+// Directory is the replicated index of the kept turns. It is not safe for concurrent use.
+type Directory struct {
+	turns map[Turn]*entry
+	// retired holds the storages that must not be named as holders any more.
+	retired map[string]bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{turns: make(map[Turn]*entry), retired: make(map[string]bool)}
+}
+
+// Keep records a turn and reports whether it did. It refuses a holder that is retired,
+// and a copy of an unknown turn. A repeated call adds holders.
+func (d *Directory) Keep(unixSeconds int64, k Keep) bool {
+	if len(k.Holders) == 0 || slices.ContainsFunc(k.Holders, func(s string) bool { return d.retired[s] }) {
+		return false
+	}
+	e := d.turns[k.Turn]
+	if e == nil && k.Copied {
+		return false
+	}
+	if e == nil {
+		e = &entry{KeptSeconds: unixSeconds, RetentionSeconds: k.RetentionSeconds}
+		d.turns[k.Turn] = e
+	}
+	// Lookup returns the list to readers, so it is replaced and not changed.
+	holders := slices.DeleteFunc(slices.Clone(e.Holders), func(s string) bool { return slices.Contains(k.Holders, s) })
+	holders = append(holders, k.Holders...)
+	e.Holders = holders[max(0, len(holders)-maxHolders):]
+	return true
+}
+
+// Lookup returns the storages that hold a turn, the latest last, and whether the turn is
+// known. The caller must not change the result.
+func (d *Directory) Lookup(t Turn) ([]string, bool) {
+	e := d.turns[t]
+	if e == nil {
+		return nil, false
+	}
+	return e.Holders, true
+}
+
+// Retire excludes a storage from holding further records. The records that it holds stay
+// known until they have been copied.
+func (d *Directory) Retire(storage string) { d.retired[storage] = true }
+
+// Retired reports whether Retire was called for a storage.
+func (d *Directory) Retired(storage string) bool { return d.retired[storage] }
+
+// Len returns the number of known turns.
+func (d *Directory) Len() int { return len(d.turns) }
+
+// Expire removes the turns whose retention has passed.
+func (d *Directory) Expire(unixSeconds int64) {
+	for t, e := range d.turns {
+		if e.expires() < unixSeconds {
+			delete(d.turns, t)
+		}
+	}
+}
+
+// Copy asks for one more copy of a record.
+type Copy struct {
+	Turn Turn
+	// From and To are the VMs between which the record is copied.
+	From, To Store
+}
+
+// RepairPlan is the result of PlanRepair.
+type RepairPlan struct {
+	// Copies are at most as many as requested. Turns with the fewest copies come first.
+	Copies []Copy
+	// Missing is the number of turns that have too few copies.
+	Missing int
+	// Lost is the number of turns of which no present VM holds a copy.
+	Lost int
+}
+
+// PlanRepair returns the copies to make so that each turn has wanted copies on the present
+// VMs that are not retiring. Turns whose retention has passed for certain are left out.
+// The result has at most limit copies.
+func (d *Directory) PlanRepair(unixSeconds int64, present []Store, wanted, limit int) RepairPlan {
+	byStorage := make(map[string]Store, len(present))
+	lasting := 0
+	for _, s := range present {
+		s.Retiring = s.Retiring || d.retired[s.Storage]
+		byStorage[s.Storage] = s
+		if !s.Retiring {
+			lasting++
+		}
+	}
+	wanted = min(wanted, lasting)
+	plan := RepairPlan{}
+	type candidate struct {
+		turn    Turn
+		holders []Store
+		// copies counts the holders that are not retiring.
+		copies int
+	}
+	var candidates []candidate
+	for t, e := range d.turns {
+		if !e.needsCopies(unixSeconds) {
+			continue
+		}
+		c := candidate{turn: t}
+		for _, storage := range e.Holders {
+			if s, ok := byStorage[storage]; ok {
+				c.holders = append(c.holders, s)
+				if !s.Retiring {
+					c.copies++
+				}
+			}
+		}
+		if c.copies >= wanted {
+			continue
+		}
+		plan.Missing++
+		if len(c.holders) == 0 {
+			plan.Lost++
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.copies, b.copies), cmp.Compare(a.turn.ID, b.turn.ID), cmp.Compare(a.turn.Organisation, b.turn.Organisation))
+	})
+	for _, c := range candidates[:min(limit, len(candidates))] {
+		if to, ok := destination(byStorage, c.turn, c.holders); ok {
+			from := c.holders[rendezvousHash(c.turn, to)%uint64(len(c.holders))]
+			plan.Copies = append(plan.Copies, Copy{Turn: c.turn, From: from, To: to})
+		}
+	}
+	return plan
+}
+
+// destination returns the VM that should get one more copy. It prefers a data centre that
+// has none.
+func destination(present map[string]Store, t Turn, holders []Store) (Store, bool) {
+	var free []Store
+	for storage, s := range present {
+		if !slices.ContainsFunc(holders, func(h Store) bool { return h.Storage == storage }) {
+			free = append(free, s)
+		}
+	}
+	ordered := Candidates(free, t, Preference{})
+	if len(ordered) == 0 {
+		return Store{}, false
+	}
+	for _, s := range ordered {
+		if !slices.ContainsFunc(holders, func(h Store) bool { return h.DataCentre == s.DataCentre }) {
+			return s, true
+		}
+	}
+	return ordered[0], true
+}
+
+// Needs reports whether some turn on the given storage has fewer than wanted copies on
+// other present VMs that are not retiring. Turns whose retention has passed for certain are
+// left out.
+func (d *Directory) Needs(unixSeconds int64, storage string, present []Store, wanted int) bool {
+	lasting := make(map[string]bool, len(present))
+	for _, s := range present {
+		lasting[s.Storage] = !s.Retiring && !d.retired[s.Storage] && s.Storage != storage
+	}
+	for _, e := range d.turns {
+		if !e.needsCopies(unixSeconds) || !slices.Contains(e.Holders, storage) {
+			continue
+		}
+		copies := 0
+		for _, holder := range e.Holders {
+			if lasting[holder] {
+				copies++
+			}
+		}
+		if copies < wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Image is the encoded form of a Directory.
+type Image struct {
+	Turns   []TurnImage `json:"t,omitempty"`
+	Retired []string    `json:"r,omitempty"`
+}
+
+// TurnImage is the encoded form of one turn.
+type TurnImage struct {
+	Turn Turn `json:"t"`
+	entry
+}
+
+// Image returns the content of the directory.
+func (d *Directory) Image() Image {
+	image := Image{Turns: make([]TurnImage, 0, len(d.turns))}
+	for t, e := range d.turns {
+		image.Turns = append(image.Turns, TurnImage{t, *e})
+	}
+	for storage := range d.retired {
+		image.Retired = append(image.Retired, storage)
+	}
+	return image
+}
+
+// FromImage returns the directory that an image holds.
+func FromImage(image Image) *Directory {
+	d := NewDirectory()
+	for _, t := range image.Turns {
+		d.turns[t.Turn] = &t.entry
+	}
+	for _, storage := range image.Retired {
+		d.retired[storage] = true
+	}
+	return d
+}
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -4,7 +4,7 @@
 // A turn is a request of a program that generates tokens. It reserves the maximum
 // number of tokens that it can generate before any of them reaches the caller, and is
 // settled with the number that was delivered. A reservation that is never settled
-// stays charged in full.
+// stays charged in full. The state also includes the directory of kept histories.
 //
 // Invariant: the spent and reserved tokens of a program never exceed its budget.
 package ledger
@@ -12,6 +12,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"hemlockvale.dev/coord/history"
 )
 
 // Program identifies a program within its organisation.
@@ -49,13 +51,24 @@
 }
 
 // Command is a batch of changes. The reservations are applied first, then the
-// settlements, each in order.
+// settlements, the retirements and the keeps, each in order.
 type Command struct {
 	// UnixSeconds is the wall clock of the leader; it is only used to expire old
-	// programs.
-	UnixSeconds int64     `json:"s"`
-	Reserves    []Reserve `json:"v,omitempty"`
-	Settles     []Settle  `json:"e,omitempty"`
+	// programs and turns.
+	UnixSeconds int64          `json:"s"`
+	Reserves    []Reserve      `json:"v,omitempty"`
+	Settles     []Settle       `json:"e,omitempty"`
+	Keeps       []history.Keep `json:"h,omitempty"`
+	// RetiredStorages are excluded from holding histories.
+	RetiredStorages []string `json:"x,omitempty"`
+}
+
+// Result tells which changes of a command took effect, in the order of the command.
+type Result struct {
+	// Reserved reports for each reservation whether the budget covered it.
+	Reserved []bool
+	// Kept reports for each keep whether the directory accepted it.
+	Kept []bool
 }
 
 // account is the token account of one program.
@@ -79,6 +92,7 @@
 // for concurrent use.
 type State struct {
 	accounts map[Program]*account
+	turns    *history.Directory
 	// latestSeconds is the highest wall clock time of any command, in Unix seconds.
 	latestSeconds int64
 	// sweptSeconds is the value of latestSeconds at the last search for expired
@@ -87,7 +101,15 @@
 }
 
 // New returns an empty state.
-func New() *State { return &State{accounts: make(map[Program]*account)} }
+func New() *State {
+	return &State{accounts: make(map[Program]*account), turns: history.NewDirectory()}
+}
+
+// Turns returns the directory of kept histories. The caller must not change it.
+func (s *State) Turns() *history.Directory { return s.turns }
+
+// UnixSeconds returns the highest wall clock time of any command.
+func (s *State) UnixSeconds() int64 { return s.latestSeconds }
 
 const (
 	// retentionFactor extends the retention of programs, because the clocks of VMs
@@ -124,19 +146,24 @@
 // Programs returns the number of programs with an account.
 func (s *State) Programs() int { return len(s.accounts) }
 
-// Apply executes a committed batch and reports for each reservation whether the
-// budget covered it.
-func (s *State) Apply(c Command) []bool {
+// Apply executes a committed batch.
+func (s *State) Apply(c Command) Result {
 	s.latestSeconds = max(s.latestSeconds, c.UnixSeconds)
-	accepted := make([]bool, len(c.Reserves))
+	result := Result{Reserved: make([]bool, len(c.Reserves)), Kept: make([]bool, len(c.Keeps))}
 	for i, r := range c.Reserves {
-		accepted[i] = s.reserve(r)
+		result.Reserved[i] = s.reserve(r)
 	}
 	for _, settlement := range c.Settles {
 		s.settle(settlement)
 	}
+	for _, storage := range c.RetiredStorages {
+		s.turns.Retire(storage)
+	}
+	for i, k := range c.Keeps {
+		result.Kept[i] = s.turns.Keep(s.latestSeconds, k)
+	}
 	s.sweep()
-	return accepted
+	return result
 }
 
 func (s *State) reserve(r Reserve) bool {
@@ -182,6 +209,7 @@
 			delete(s.accounts, p)
 		}
 	}
+	s.turns.Expire(s.latestSeconds)
 }
 
 // snapshot is the encoded form of a State.
@@ -189,6 +217,7 @@
 	LatestSeconds int64            `json:"n"`
 	SweptSeconds  int64            `json:"w"`
 	Accounts      []programAccount `json:"a"`
+	Turns         history.Image    `json:"h"`
 }
 
 // programAccount is the encoded form of one account.
@@ -203,6 +232,7 @@
 	for p, a := range s.accounts {
 		encoded.Accounts = append(encoded.Accounts, programAccount{p, a})
 	}
+	encoded.Turns = s.turns.Image()
 	return json.Marshal(encoded)
 }
 
@@ -217,5 +247,6 @@
 	for _, item := range decoded.Accounts {
 		s.accounts[item.Program] = item.Account
 	}
+	s.turns = history.FromImage(decoded.Turns)
 	return nil
 }
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -17,8 +17,8 @@
 // settlement that is counted twice.
 func TestReservationsShareTheBudget(t *testing.T) {
 	s := New()
-	assert.Equal(t, []bool{true, true, false}, s.Apply(Command{Reserves: []Reserve{reserve("a", 100, 40), reserve("b", 100, 40), reserve("c", 100, 40)}}))
-	assert.Equal(t, []bool{true}, s.Apply(Command{Reserves: []Reserve{reserve("a", 100, 40)}}))
+	assert.Equal(t, []bool{true, true, false}, s.Apply(Command{Reserves: []Reserve{reserve("a", 100, 40), reserve("b", 100, 40), reserve("c", 100, 40)}}).Reserved)
+	assert.Equal(t, []bool{true}, s.Apply(Command{Reserves: []Reserve{reserve("a", 100, 40)}}).Reserved)
 	assert.EqualValues(t, 80, s.Charged(Program{"o", "p"}))
 	s.Apply(Command{Settles: []Settle{{Program: Program{"o", "p"}, Request: "a", Used: 10}}})
 	s.Apply(Command{Settles: []Settle{{Program: Program{"o", "p"}, Request: "a", Used: 10}}})
--- a/coord/routing/types.go
+++ b/coord/routing/types.go
@@ -63,9 +63,17 @@
 	// Resumable is set if a stream can be continued at another target after a given
 	// event id.
 	Resumable bool `json:"resumable,omitempty"`
-	// RetentionSeconds is how long a program's budget is remembered after its last
-	// turn.
+	// RetentionSeconds is how long a program's budget, and its history on a route with
+	// KeepsHistory, are remembered after its last turn.
 	RetentionSeconds float64 `json:"retention_s,omitempty"`
+	// KeepsHistory is set if a request may name an earlier one, whose history the target
+	// then receives before the body.
+	KeepsHistory bool `json:"keeps_history,omitempty"`
+}
+
+// Retention returns RetentionSeconds, rounded to whole seconds.
+func (r *Route) Retention() time.Duration {
+	return time.Duration(r.RetentionSeconds+0.5) * time.Second
 }
 
 // Timeout returns TimeoutMS as a duration.
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -15,7 +15,7 @@
 // admit requests a target from the ledger. It returns false, after responding to
 // the caller, if the ledger grants none.
 func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
-	request := ledgerhost.AdmitRequest{Attempt: x.attempt, Reserve: x.reservation}
+	request := ledgerhost.AdmitRequest{Attempt: x.attempt, Reserve: x.reservation, PreviousTurn: x.previousTurn()}
 	request.ID, request.Service, request.Priority = x.call.ID, x.service.Name, x.route.Priority
 	request.Program, request.RoutePriority = x.call.Program, x.route.Priority
 	request.Fingerprint = x.fingerprint()
@@ -41,19 +41,26 @@
 	x.record.admitTime += bootclock.Now() - askedAt
 	x.record.queueTime += response.Waited
 	if err != nil {
-		x.abandonAdmission()
+		x.settle()
 		x.failRequest()
 		return response, false
 	}
-	switch {
-	case response.Refusal == "":
+	if response.Refusal == "" {
 		x.startConfirmation()
 		return response, true
+	}
+	if x.attempt > 0 && x.reservation != nil {
+		// The ledger releases the reservation only of a request that reached no target.
+		x.settle()
+	}
+	switch {
 	case x.mayHaveRun || x.responseStarted:
 		// A target may have run the request, and a refusal would deny that.
 		x.failRequest()
 	case response.Refusal == dispatch.OverRate:
 		x.respondError(http.StatusTooManyRequests, string(response.Refusal), response.RetryAfter)
+	case response.Refusal == ledgerhost.UnknownTurn:
+		x.refusePermanently(http.StatusNotFound, string(response.Refusal))
 	case response.Refusal == ledgerhost.BudgetExhausted:
 		x.respondError(http.StatusPaymentRequired, string(response.Refusal), 0)
 	default:
@@ -103,8 +110,9 @@
 	return fmt.Errorf("reservation: %w", err)
 }
 
-// abandonAdmission withdraws a request that may still be in the ledger's queue.
-func (x *exchange) abandonAdmission() {
+// settle sends the ledger the final settlement of a request that ends while it is at no
+// target. It also withdraws a request that may still be in the ledger's queue.
+func (x *exchange) settle() {
 	x.entry.options.Ledger.Done(ledgerhost.DoneReport{ID: x.call.ID, Result: dispatch.Abandoned, Settle: ledgerhost.Settlement(x.reservation, x.deliveredTokens())})
 }
 
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -12,6 +12,8 @@
 //   - Of a stream, only whole events are relayed, in order and once each.
 //   - No event of a request with a reservation is relayed before the reservation is
 //     durable.
+//   - The end of a turn on a route that keeps histories is sent only once the turn is
+//     stored on enough disks.
 package forward
 
 import (
@@ -29,6 +31,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
@@ -67,6 +70,8 @@
 	Confirm(ctx context.Context, r ledger.Reserve) error
 	// Done queues a done report for the ledger. It never blocks.
 	Done(r ledgerhost.DoneReport)
+	// Keep returns nil once the directory of histories durably has the holders of a turn.
+	Keep(ctx context.Context, k history.Keep) error
 }
 
 // Options holds the configuration and the dependencies of an Entry.
@@ -80,6 +85,12 @@
 	Age func() time.Duration
 	// Ledger admits requests and receives done reports.
 	Ledger Ledger
+	// Histories reads and writes the histories of programs.
+	Histories Histories
+	// HistoryStores returns the store VMs that serve histories.
+	HistoryStores func() []history.Store
+	// HistoryCopies is the number of store VMs that hold each history.
+	HistoryCopies int
 	// HeaderCodec translates the headers of callers and targets.
 	HeaderCodec HeaderCodec
 	// DataCentre is the data centre of this VM.
@@ -146,6 +157,9 @@
 	// lastEventID is the id of the latest event that has one.
 	events      int64
 	lastEventID string
+	// streamed is set once the whole stream has been relayed.
+	streamed bool
+	history  turnHistory
 	// responseStarted is set once the caller has been sent a target's status and headers.
 	responseStarted bool
 }
@@ -238,7 +252,7 @@
 	if x.organisation != nil {
 		p.Organisation = x.organisation.Name
 	}
-	return &ledger.Reserve{Program: p, Request: x.call.ID, Budget: x.call.TokenBudget, Tokens: x.call.OutputTokens, RetentionSeconds: int64(x.route.RetentionSeconds + 0.5)}
+	return &ledger.Reserve{Program: p, Request: x.call.ID, Budget: x.call.TokenBudget, Tokens: x.call.OutputTokens, RetentionSeconds: int64(x.route.Retention() / time.Second)}
 }
 
 // readBody checks the sizes of the header and the body and reads the body. It returns
@@ -311,6 +325,7 @@
 		}
 		x.attempt++
 		if x.attempt >= maxPlacements || x.timeLeft() <= 0 {
+			x.settle()
 			x.failRequest()
 			return
 		}
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -21,6 +21,7 @@
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/coord/routing"
 	ledgerhost "hemlockvale.dev/server/ledger"
@@ -31,7 +32,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last")}
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last"), PreviousTurn: h.Get("Previous")}
 	if c.Program != "" {
 		c.TokenBudget, c.OutputTokens = 1000, 100
 	}
@@ -63,6 +64,11 @@
 	// confirmation delivers the outcome of a reservation; if nil, reservations are
 	// confirmed at once.
 	confirmation chan error
+	// keeps holds the recorded turns; Keep returns keepErr.
+	keeps   []history.Keep
+	keepErr error
+	// holders are granted as the holders of the previous turn.
+	holders []string
 }
 
 func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
@@ -74,7 +80,7 @@
 	}
 	address := l.targets[0]
 	l.targets = l.targets[1:]
-	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address}, nil
+	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders}, nil
 }
 
 func (l *testLedger) Confirm(ctx context.Context, _ ledger.Reserve) error {
@@ -89,6 +95,13 @@
 	}
 }
 
+func (l *testLedger) Keep(_ context.Context, k history.Keep) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keeps = append(l.keeps, k)
+	return l.keepErr
+}
+
 func (l *testLedger) Done(r ledgerhost.DoneReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -202,6 +215,17 @@
 // startEntry starts an entry with a route of each kind. current is the value of its
 // Options.Current.
 func startEntry(t *testing.T, l *testLedger, current bool) *httptest.Server {
+	t.Helper()
+	return startEntryWith(t, l, current, newTestHistories())
+}
+
+// startHistoryEntry starts an entry that reads and writes the given histories.
+func startHistoryEntry(t *testing.T, l *testLedger, h *testHistories) *httptest.Server {
+	t.Helper()
+	return startEntryWith(t, l, true, h)
+}
+
+func startEntryWith(t *testing.T, l *testLedger, current bool, h *testHistories) *httptest.Server {
 	t.Helper()
 	destination := []routing.Destination{{Service: "plain", Weight: 1}}
 	engine := []routing.Destination{{Service: "engine", Weight: 1}}
@@ -211,6 +235,9 @@
 			{Name: "once", Host: "127.0.0.1", PathPrefix: "/once/", Kind: routing.NonIdempotent, TimeoutMS: 2000, MaxAttempts: 3, Destinations: destination},
 			{Name: "again", Host: "127.0.0.1", PathPrefix: "/again/", Kind: routing.Idempotent, TimeoutMS: 2000, MaxAttempts: 3, Destinations: destination},
 			{Name: "stream", Host: "127.0.0.1", PathPrefix: "/stream/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, Resumable: true, Destinations: engine},
+			{Name: "retried", Host: "127.0.0.1", PathPrefix: "/retried/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 2, Resumable: true, Destinations: engine},
+			{Name: "resumable_chat", Host: "127.0.0.1", PathPrefix: "/resumable-chat/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, Resumable: true, RetentionSeconds: 60, KeepsHistory: true, Destinations: engine},
+			{Name: "chat", Host: "127.0.0.1", PathPrefix: "/chat/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, RetentionSeconds: 60, KeepsHistory: true, Destinations: engine},
 		},
 		Organisations: []routing.Organisation{{Name: "o", Keys: []string{"k"}}},
 	})
@@ -219,7 +246,10 @@
 	log.SetOutput(io.Discard)
 	e := New(Options{
 		View: func() *registry.View { return view }, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
-		Ledger: l, HeaderCodec: testCodec{}, Log: logrus.NewEntry(log), Metrics: gometrics.NewRegistry(),
+		Ledger: l, Histories: h, HistoryCopies: 2, HeaderCodec: testCodec{},
+		HistoryStores: func() []history.Store {
+			return []history.Store{{Storage: "a", Address: "a:1", DataCentre: "x"}, {Storage: "b", Address: "b:1", DataCentre: "y"}, {Storage: "c", Address: "c:1", DataCentre: "z"}}
+		}, Log: logrus.NewEntry(log), Metrics: gometrics.NewRegistry(),
 	})
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
@@ -409,3 +439,42 @@
 		})
 	}
 }
+
+// TestRequestBetweenTwoTargetsIsSettled guards against a budget that stays charged with the
+// most that a turn could generate, or that is not charged for what was delivered, because
+// the request ended when its first target had failed and no other took it.
+func TestRequestBetweenTwoTargetsIsSettled(t *testing.T) {
+	notRun := responseText("503 Busy", "r", "Not-Run: 1\r\n", "")
+	broken := streamHeader + chunk(eventText(1)) + "<cut>"
+	for name, c := range map[string]struct {
+		responses []string
+		targets   int
+		used      int64
+	}{
+		"refused after a target that did not run it":         {[]string{notRun}, 1, 0},
+		"refused after a part was delivered":                 {[]string{broken, "<cut>", "<cut>"}, 1, 10},
+		"as many targets as allowed did not run the request": {[]string{notRun, notRun, notRun, notRun, notRun, notRun}, maxPlacements, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startFakeTarget(t, c.responses...)
+			l := &testLedger{}
+			for range c.targets {
+				l.targets = append(l.targets, target.address)
+			}
+			_, _, _ = post(t, startEntry(t, l, true), "/retried/x", "Program", "p")
+			var settlements []int64
+			require.Eventually(t, func() bool {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				settlements = nil
+				for _, r := range l.reports {
+					if r.Settle != nil {
+						settlements = append(settlements, r.Settle.Used)
+					}
+				}
+				return len(settlements) > 0
+			}, time.Second, time.Millisecond)
+			assert.Equal(t, []int64{c.used}, settlements)
+		})
+	}
+}
--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -31,6 +31,9 @@
 	// LastEventID is the id of the last event that the caller has received; empty if
 	// the stream starts from the beginning.
 	LastEventID string
+	// PreviousTurn is the id of the request whose history this one continues; empty if
+	// there is none.
+	PreviousTurn string
 }
 
 // TargetCall holds what the headers of a request tell its target.
--- /dev/null
+++ b/server/forward/history.go
@@ -0,0 +1,196 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/server/bootclock"
+	historystore "hemlockvale.dev/server/history"
+	ledgerhost "hemlockvale.dev/server/ledger"
+)
+
+// Histories reads and writes the histories of programs. *history.Client implements it.
+type Histories interface {
+	// Read returns the history up to and including a turn and the storage it comes from.
+	Read(ctx context.Context, t history.Turn, holders []history.Store) (content []byte, source string, err error)
+	// Write stores a record on the given number of candidates and returns their storages.
+	Write(ctx context.Context, d historystore.Draft, candidates []history.Store, copies int) ([]string, error)
+}
+
+// keepAttempts bounds how often the record of a turn is written because one of its holders
+// is being retired.
+const keepAttempts = 3
+
+// errHistoryTooLarge is returned for a turn whose history exceeds the limit.
+var errHistoryTooLarge = errors.New("history is too large")
+
+// turnHistory is the history of a request on a route that keeps histories.
+type turnHistory struct {
+	// loaded is set once base holds the history of the previous turn.
+	loaded bool
+	base   []byte
+	// holders are the storages that hold the record of the previous turn.
+	holders []string
+	// output is the data of each event that the target sent, each followed by a line feed.
+	output []byte
+}
+
+// turn returns the turn of this organisation with the given id.
+func (x *exchange) turn(id string) history.Turn {
+	t := history.Turn{ID: id}
+	if x.organisation != nil {
+		t.Organisation = x.organisation.Name
+	}
+	return t
+}
+
+// previousTurn returns the id of the turn whose history the request continues; empty if
+// there is none.
+func (x *exchange) previousTurn() string {
+	if !x.route.KeepsHistory {
+		return ""
+	}
+	return x.call.PreviousTurn
+}
+
+// loadHistory reads the history of the previous turn. It returns false, after responding
+// to the caller and releasing the grant, if that is not possible.
+func (x *exchange) loadHistory(grant ledgerhost.AdmitResponse) bool {
+	if x.previousTurn() == "" || x.history.loaded {
+		return true
+	}
+	start := bootclock.Now()
+	t := x.turn(x.call.PreviousTurn)
+	holders, absent := history.Resolve(x.entry.options.HistoryStores(), grant.Holders)
+	x.preferNear(holders)
+	content, source, err := x.entry.options.Histories.Read(x.ctx, t, holders)
+	if err == nil && len(content)+len(x.body) > historystore.MaxContentBytes {
+		err = errHistoryTooLarge
+	}
+	fields := logrus.Fields{"event": "history_read", "request": x.call.ID, "turn": t.String(), "source": source, "bytes": len(content), "took_ms": milliseconds(bootclock.Now() - start)}
+	if err == nil {
+		x.history.loaded, x.history.base, x.history.holders = true, content, grant.Holders
+		x.entry.options.Log.WithFields(fields).Info("history of the previous turn read")
+		return true
+	}
+	fields["holders"], fields["absent"] = len(holders), fmt.Sprint(absent)
+	x.entry.options.Log.WithFields(fields).WithError(err).Warn("history of the previous turn not read")
+	// The target is not to blame, so this is no failure of the target.
+	x.reportDone(grant.Target, dispatch.Abandoned, true)
+	switch {
+	case x.request.Context().Err() != nil:
+		x.abort("caller_left")
+	case errors.Is(err, errHistoryTooLarge):
+		x.respondError(http.StatusRequestEntityTooLarge, "history_too_large", 0)
+	default:
+		x.respondError(http.StatusServiceUnavailable, "history_unavailable", unavailableRetryAfter)
+	}
+	return false
+}
+
+// preferNear moves the stores of this data centre to the front.
+func (x *exchange) preferNear(stores []history.Store) {
+	next := 0
+	for i, s := range stores {
+		if s.DataCentre == x.entry.options.DataCentre {
+			stores[next], stores[i] = s, stores[next]
+			next++
+		}
+	}
+}
+
+// targetBody returns the body for the target: the history of the previous turn, if any,
+// followed by the body of the caller.
+func (x *exchange) targetBody() []byte {
+	if len(x.history.base) == 0 {
+		return x.body
+	}
+	body := make([]byte, 0, len(x.history.base)+len(x.body))
+	body = append(body, x.history.base...)
+	return append(body, x.body...)
+}
+
+// recordOutput adds an event to the output of the turn.
+func (x *exchange) recordOutput(e event) {
+	if x.route.KeepsHistory && e.hasData {
+		x.history.output = append(append(x.history.output, e.data...), '\n')
+	}
+}
+
+// finishTurn keeps a turn that its target has completed. If that fails, the caller must
+// not see the end of the stream.
+func (x *exchange) finishTurn() {
+	if !x.route.KeepsHistory || !x.streamed {
+		return
+	}
+	if err := x.keepTurn(); err != nil {
+		x.abort("turn_not_kept")
+	}
+}
+
+// keepTurn stores the history of a completed turn, so that a later turn can continue it.
+// The end of the response must not be sent if it fails.
+func (x *exchange) keepTurn() error {
+	start := bootclock.Now()
+	content := append(x.targetBody(), x.history.output...)
+	if len(content) > historystore.MaxContentBytes {
+		return errHistoryTooLarge
+	}
+	draft := historystore.Draft{Turn: x.turn(x.call.ID), Retention: x.route.Retention(), Content: content}
+	if x.history.loaded {
+		previous := x.turn(x.call.PreviousTurn)
+		draft.Previous, draft.BaseBytes = &previous, len(x.history.base)
+	}
+	var holders []string
+	err := historystore.ErrUnavailable
+	for range keepAttempts {
+		holders, err = x.storeTurn(draft)
+		if !errors.Is(err, ledgerhost.ErrHolderRetired) {
+			break
+		}
+	}
+	fields := logrus.Fields{"event": "turn_kept", "request": x.call.ID, "previous": x.previousTurn(), "holders": fmt.Sprint(holders), "bytes": len(content), "took_ms": milliseconds(bootclock.Now() - start)}
+	if err != nil {
+		x.entry.options.Log.WithFields(fields).WithError(err).Warn("turn not kept")
+		return err
+	}
+	x.entry.options.Log.WithFields(fields).Info("turn kept")
+	return nil
+}
+
+// storeTurn writes the record of a turn and has the ledger record its holders. Both happen
+// at the same time, because usually the preferred store VMs store the record.
+func (x *exchange) storeTurn(d historystore.Draft) ([]string, error) {
+	candidates := history.Candidates(x.entry.options.HistoryStores(), d.Turn, history.Preference{Holders: x.history.holders, DataCentre: x.entry.options.DataCentre})
+	copies := x.entry.options.HistoryCopies
+	if len(candidates) < copies {
+		return nil, historystore.ErrUnavailable
+	}
+	keep := history.Keep{Turn: d.Turn, RetentionSeconds: int64(x.route.Retention() / time.Second)}
+	for _, c := range candidates[:copies] {
+		keep.Holders = append(keep.Holders, c.Storage)
+	}
+	recorded := make(chan error, 1)
+	go func() { recorded <- x.entry.options.Ledger.Keep(x.ctx, keep) }()
+	holders, err := x.entry.options.Histories.Write(x.ctx, d, candidates, copies)
+	if recordErr := <-recorded; err == nil {
+		err = recordErr
+	}
+	if err != nil {
+		return holders, err
+	}
+	isRecorded := func(s string) bool { return slices.Contains(keep.Holders, s) }
+	if !slices.ContainsFunc(holders, func(s string) bool { return !isRecorded(s) }) {
+		return holders, nil
+	}
+	keep.Holders = holders
+	return holders, x.entry.options.Ledger.Keep(x.ctx, keep)
+}
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -27,6 +27,9 @@
 		x.reportDone(grant.Target, dispatch.Unreachable, false)
 		return true
 	}
+	if !x.loadHistory(grant) {
+		return false
+	}
 	for resumed := 0; ; resumed++ {
 		result, err := x.roundTrip(grant)
 		if err != nil {
@@ -34,6 +37,7 @@
 		}
 		if result == dispatch.Completed || result == dispatch.Failed {
 			x.reportDone(grant.Target, result, true)
+			x.finishTurn()
 			return false
 		}
 		if x.ctx.Err() != nil {
@@ -147,6 +151,7 @@
 	}
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
 		result, err = x.relayStream(response)
+		x.streamed = result == dispatch.Completed
 	} else {
 		result, err = x.relayBody(response)
 	}
@@ -160,7 +165,9 @@
 	removeHopByHop(header)
 	header.Del("Content-Length")
 	call := TargetCall{Target: grant.Target, TimeLeft: x.timeLeft(), LastEventID: x.lastEventID}
-	if call.LastEventID == "" {
+	if x.route.KeepsHistory {
+		header.Del("Last-Event-ID")
+	} else if call.LastEventID == "" {
 		call.LastEventID = x.call.LastEventID
 	}
 	if x.organisation != nil {
@@ -171,7 +178,7 @@
 		call.Priority = &priority
 	}
 	x.entry.options.HeaderCodec.EncodeCall(header, call)
-	return &targetRequest{id: x.call.ID, method: x.request.Method, uri: x.request.RequestURI, host: x.request.Host, header: header, body: x.body}
+	return &targetRequest{id: x.call.ID, method: x.request.Method, uri: x.request.RequestURI, host: x.request.Host, header: header, body: x.targetBody()}
 }
 
 const (
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -18,8 +18,10 @@
 type event struct {
 	raw []byte
 	id  string
-	// hasData is true if the event has a data field, and not only comments.
+	// hasData is true if the event has a data field, and not only comments. data holds the
+	// values of its data fields, joined by line feeds.
 	hasData bool
+	data    []byte
 }
 
 var errEventTooLarge = errors.New("event is too large")
@@ -43,8 +45,24 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
 		}
-		e.hasData = e.hasData || bytes.HasPrefix(text, []byte("data"))
+		if value, ok := dataField(text); ok {
+			if e.hasData {
+				e.data = append(e.data, '\n')
+			}
+			e.hasData = true
+			e.data = append(e.data, value...)
+		}
+	}
+}
+
+// dataField returns the value of a data field, and whether the line is one. One space
+// after the colon does not belong to the value.
+func dataField(line []byte) ([]byte, bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != "data" {
+		return nil, false
 	}
+	return bytes.TrimPrefix(value, []byte(" ")), true
 }
 
 // appendLine reads one line with its ending. The event stays below maxEventBytes even if
@@ -87,12 +105,16 @@
 		if x.isDuplicate(e) {
 			continue
 		}
-		if e.hasData {
-			x.events++
-		}
+		x.recordOutput(e)
 		if e.id != "" {
 			x.lastEventID = e.id
 		}
+		if x.callerHas(e) {
+			continue
+		}
+		if e.hasData {
+			x.events++
+		}
 		if _, err := x.writer.Write(e.raw); err != nil {
 			return dispatch.Abandoned, err
 		}
@@ -102,13 +124,20 @@
 	}
 }
 
-// isDuplicate reports whether the caller already has the event. Ids that are not
-// integers are never duplicates.
-func (x *exchange) isDuplicate(e event) bool {
-	if e.id == "" || x.lastEventID == "" {
-		return false
-	}
-	id, err := strconv.ParseInt(e.id, 10, 64)
-	lastID, lastErr := strconv.ParseInt(x.lastEventID, 10, 64)
-	return err == nil && lastErr == nil && id <= lastID
+// isDuplicate reports whether the event has been read before.
+func (x *exchange) isDuplicate(e event) bool { return notAfter(e.id, x.lastEventID) }
+
+// callerHas reports whether the caller has received the event with an earlier request. On
+// a route that keeps histories the target repeats the whole stream, because all of its
+// output belongs to the history.
+func (x *exchange) callerHas(e event) bool {
+	return x.route.KeepsHistory && notAfter(e.id, x.call.LastEventID)
+}
+
+// notAfter reports whether an event id is at most another one. It returns false for ids
+// that are not integers.
+func notAfter(id, last string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	lastN, lastErr := strconv.ParseInt(last, 10, 64)
+	return err == nil && lastErr == nil && n <= lastN
 }
--- /dev/null
+++ b/server/history/messages.go
@@ -0,0 +1,88 @@
+package history
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/server/compact"
+)
+
+// These are the paths of the store VM's HTTP interface. Requests and responses are
+// encoded by package compact, because records are too large for JSON.
+const (
+	pathWrite = "/v1/records/write"
+	pathRead  = "/v1/records/read"
+	pathCopy  = "/v1/records/copy"
+)
+
+const (
+	// maxMessageBytes bounds one request or response.
+	maxMessageBytes = MaxContentBytes + 1<<20
+	// maxReadBytes is the size at which a response to a read gets no further records.
+	maxReadBytes = 2 << 20
+)
+
+// writeRequest stores the record of one turn.
+type writeRequest struct {
+	Turn history.Turn
+	// Base is the previous turn. If it is set, the history is that of Base, as the store
+	// VM holds it, followed by Content.
+	Base      *history.Turn
+	Retention time.Duration
+	Content   []byte
+}
+
+// writeResponse is the response to a writeRequest. BaseMissing is set if the record was
+// not stored because the VM does not hold Base.
+type writeResponse struct {
+	BaseMissing bool
+}
+
+// readRequest reads the records of some turns.
+type readRequest struct {
+	Turns []history.Turn
+}
+
+// readResponse holds the records that the VM has. Records that would make the response
+// too large are left out.
+type readResponse struct {
+	Records []Record
+}
+
+// copyRequest asks a VM to copy records from another VM.
+type copyRequest struct {
+	Turns []history.Turn
+	// From is the address of the other VM.
+	From string
+}
+
+// copyResponse names the turns that the VM holds now.
+type copyResponse struct {
+	Turns []history.Turn
+}
+
+// readMessage decodes a message of limited size.
+func readMessage(r io.Reader, value any) error {
+	data, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxMessageBytes {
+		return fmt.Errorf("message of more than %d bytes", maxMessageBytes)
+	}
+	return compact.Unmarshal(data, value)
+}
+
+// respond sends a response.
+func respond(w http.ResponseWriter, value any) error {
+	data, err := compact.Marshal(value)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return err
+	}
+	_, err = w.Write(data)
+	return err
+}
--- /dev/null
+++ b/server/history/service_test.go
@@ -0,0 +1,160 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/history"
+)
+
+// testStore is a store VM with its records.
+type testStore struct {
+	history.Store
+	disk *Disk
+}
+
+func startStore(t *testing.T, storage string) testStore {
+	t.Helper()
+	d, _ := openDisk(t, t.TempDir())
+	server := httptest.NewServer(NewService(d, NewClient(), discardLogger(), metrics.NewRegistry()).Handler())
+	t.Cleanup(server.Close)
+	return testStore{history.Store{Storage: storage, Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: storage}, d}
+}
+
+// silentStore is a VM that accepts connections and never responds.
+func silentStore(t *testing.T) history.Store {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return history.Store{Storage: "silent", Address: l.Addr().String()}
+}
+
+// deadStore is a VM that refuses connections.
+var deadStore = history.Store{Storage: "dead", Address: "127.0.0.1:1"}
+
+func draft(id, content string) Draft {
+	return Draft{Turn: turnNamed(id), Retention: time.Minute, Content: []byte(content)}
+}
+
+// TestWriteAndRead guards against a turn that is reported as stored on VMs that do not
+// hold it, and against a history that is not read because one holder is gone.
+func TestWriteAndRead(t *testing.T) {
+	a, b, c := startStore(t, "a"), startStore(t, "b"), startStore(t, "c")
+	client := NewClient()
+	for name, candidates := range map[string][]history.Store{
+		"all respond":        {a.Store, b.Store, c.Store},
+		"one refuses":        {deadStore, a.Store, b.Store},
+		"one never responds": {a.Store, silentStore(t), b.Store},
+	} {
+		t.Run(name, func(t *testing.T) {
+			id := strings.ReplaceAll(name, " ", "-")
+			holders, err := client.Write(t.Context(), draft(id, "content"), candidates, 2)
+			require.NoError(t, err)
+			require.Equal(t, []string{"a", "b"}, holders)
+			requireContent(t, a.disk, id, "content")
+			requireContent(t, b.disk, id, "content")
+			content, source, err := client.Read(t.Context(), turnNamed(id), []history.Store{candidates[0], c.Store, candidates[1], b.Store})
+			require.NoError(t, err)
+			assert.Equal(t, "content", string(content))
+			assert.Contains(t, []string{"a", "b"}, source)
+		})
+	}
+}
+
+// TestTooFewStores guards against a turn that counts as stored with too few copies, and
+// against calls that wait for VMs that never respond.
+func TestTooFewStores(t *testing.T) {
+	a := startStore(t, "a")
+	client := NewClient()
+	start := time.Now()
+	for _, candidates := range [][]history.Store{nil, {a.Store}, {a.Store, deadStore}, {a.Store, silentStore(t), deadStore}} {
+		_, err := client.Write(t.Context(), draft("x", "content"), candidates, 2)
+		require.ErrorIs(t, err, ErrUnavailable)
+	}
+	_, _, err := client.Read(t.Context(), turnNamed("y"), []history.Store{a.Store, deadStore})
+	require.ErrorIs(t, err, ErrUnavailable)
+	require.ErrorIs(t, err, ErrNotFound)
+	assert.Less(t, time.Since(start), 3*callTimeout)
+}
+
+// TestOnlyTheNewPartIsSent guards against a history that is put together wrongly on a VM
+// that holds the previous turn, and against one that is lost on a VM that does not.
+func TestOnlyTheNewPartIsSent(t *testing.T) {
+	a, b := startStore(t, "a"), startStore(t, "b")
+	client := NewClient()
+	_, err := client.Write(t.Context(), draft("first", "one"), []history.Store{a.Store}, 1)
+	require.NoError(t, err)
+	second := draft("second", "one,two")
+	previous := turnNamed("first")
+	second.Previous, second.BaseBytes = &previous, len("one")
+	holders, err := client.Write(t.Context(), second, []history.Store{a.Store, b.Store}, 2)
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "b"}, holders)
+	requireContent(t, a.disk, "second", "one,two")
+	requireContent(t, b.disk, "second", "one,two")
+	requireContent(t, a.disk, "first", "one")
+}
+
+// TestCopy guards against copies that differ from their source, and against turns that
+// are reported as copied although the source does not have them.
+func TestCopy(t *testing.T) {
+	a, b := startStore(t, "a"), startStore(t, "b")
+	client := NewClient()
+	var turns []history.Turn
+	for i := range 20 {
+		d := draft(fmt.Sprint(i), strings.Repeat("x", i))
+		_, err := client.Write(t.Context(), d, []history.Store{a.Store}, 1)
+		require.NoError(t, err)
+		turns = append(turns, d.Turn)
+	}
+	copied, err := client.Copy(t.Context(), b.Address, a.Address, append(turns, turnNamed("missing")))
+	require.NoError(t, err)
+	assert.Equal(t, turns, copied)
+	for i := range 20 {
+		requireContent(t, b.disk, fmt.Sprint(i), strings.Repeat("x", i))
+	}
+	copied, err = client.Copy(t.Context(), b.Address, deadStore.Address, turns)
+	require.NoError(t, err, "the VM holds all of them already")
+	assert.Equal(t, turns, copied)
+}
+
+// TestBadRequests guards against requests that crash a store VM or store something.
+func TestBadRequests(t *testing.T) {
+	a := startStore(t, "a")
+	for _, path := range []string{pathWrite, pathRead, pathCopy} {
+		response, err := http.Post("http://"+a.Address+path, "", strings.NewReader("\xff\x00garbage"))
+		require.NoError(t, err)
+		response.Body.Close()
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode, path)
+	}
+	tooLarge := draft("large", strings.Repeat("x", MaxContentBytes+1))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := NewClient().Write(ctx, tooLarge, []history.Store{a.Store}, 1)
+	require.ErrorIs(t, err, ErrUnavailable)
+	records, _ := a.disk.Usage()
+	assert.Zero(t, records)
+}
+
+// FuzzMessages guards against encoded messages that crash a store VM.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte{0x94, 0x92, 0xa1, 'o', 0xa1, 't', 0xc0, 0x01, 0xc4, 0x01, 'x'})
+	f.Add([]byte{0x91, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		for _, value := range []any{&writeRequest{}, &readRequest{}, &copyRequest{}, &readResponse{}} {
+			// Only a panic or an unbounded allocation is a fault here.
+			_ = readMessage(strings.NewReader(string(data)), value)
+		}
+	})
+}
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 )
 
@@ -26,6 +27,9 @@
 	reportQueueSize = 8192
 	// maxReportAge is the time during which sending a done report is retried.
 	maxReportAge = 10 * time.Second
+	// unconfirmedDelay is the delay before a change is requested again that the leader
+	// could not commit.
+	unconfirmedDelay = 20 * time.Millisecond
 )
 
 var (
@@ -35,6 +39,8 @@
 	// ErrExhausted reports that the reservation of a turn was lost, and that the
 	// program's budget no longer covers it.
 	ErrExhausted = errors.New("the program's budget is exhausted")
+	// ErrHolderRetired reports that a VM which should hold a history is being retired.
+	ErrHolderRetired = errors.New("a holder of the history is being retired")
 )
 
 // ClientOptions configures a Client.
@@ -122,10 +128,47 @@
 			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		case err != nil:
 			c.connectionFailed(l, err)
+		default:
+			pause(ctx, unconfirmedDelay)
 		}
 	}
 }
 
+// Keep returns nil once the directory on a quorum of disks has the holders of a turn. It
+// returns ErrUnavailable if ctx ends first, and ErrHolderRetired if other holders must be
+// used.
+func (c *Client) Keep(ctx context.Context, k history.Keep) error {
+	for {
+		l := c.connect(ctx)
+		if l == nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
+		state, err := l.keep(ctx, k)
+		switch {
+		case err == nil && state == keepDurable:
+			return nil
+		case err == nil && state == keepRefused:
+			return ErrHolderRetired
+		case ctx.Err() != nil:
+			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		case err != nil:
+			c.connectionFailed(l, err)
+		default:
+			pause(ctx, unconfirmedDelay)
+		}
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // leaderWait returns how long a request may wait for a leader. If no store VM has
 // admitted requests for longer than an election takes, the wait is short, so that the
 // caller gets an error early.
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/compact"
 )
@@ -64,6 +65,10 @@
 	lastReceived      time.Time
 	// pendingConfirms is the number of calls of confirm that wait for an outcome.
 	pendingConfirms int
+	// pendingKeeps holds the calls of keep that wait for an outcome, by number.
+	// lastKeepNumber is the number of the latest call.
+	pendingKeeps   map[uint64]chan keepState
+	lastKeepNumber uint64
 }
 
 // dialLink connects to a store VM and returns once the VM has confirmed that it is
@@ -78,7 +83,7 @@
 	}
 	l := &clientLink{
 		address: address, conn: conn, onFailure: onFailure, closed: make(chan struct{}),
-		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), confirmations: make(map[string]*confirmation), lastReceived: time.Now(),
+		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), confirmations: make(map[string]*confirmation), pendingKeeps: make(map[uint64]chan keepState), lastReceived: time.Now(),
 	}
 	r := bufio.NewReader(conn)
 	if err := l.handshake(r); err != nil {
@@ -160,6 +165,15 @@
 			return err
 		}
 		l.resolveConfirmation(outcome)
+	case kindKeepOutcome:
+		var outcome keepOutcome
+		if err := compact.Unmarshal(payload, &outcome); err != nil {
+			return err
+		}
+		if ch := l.pendingKeeps[outcome.Number]; ch != nil {
+			delete(l.pendingKeeps, outcome.Number)
+			ch <- outcome.State
+		}
 	case kindNotLeader:
 		var n notLeader
 		if err := compact.Unmarshal(payload, &n); err != nil {
@@ -253,7 +267,7 @@
 		case <-ticker.C:
 		}
 		l.mu.Lock()
-		pending := len(l.pendingAdmissions) > 0 || l.pendingConfirms > 0
+		pending := len(l.pendingAdmissions) > 0 || l.pendingConfirms > 0 || len(l.pendingKeeps) > 0
 		if pending && wasIdle {
 			// The silence timeout starts at the first check with a pending request.
 			l.lastReceived = time.Now()
@@ -275,6 +289,32 @@
 	}
 }
 
+// keep requests to record the holders of a turn and waits for the outcome.
+func (l *clientLink) keep(ctx context.Context, k history.Keep) (keepState, error) {
+	ch := make(chan keepState, 1)
+	l.mu.Lock()
+	l.lastKeepNumber++
+	number := l.lastKeepNumber
+	l.pendingKeeps[number] = ch
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.pendingKeeps, number)
+	}()
+	if err := l.send(kindKeep, &keepRequest{Number: number, Keep: k}); err != nil {
+		return 0, err
+	}
+	select {
+	case state := <-ch:
+		return state, nil
+	case <-l.closed:
+		return 0, l.closeReason()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
 // removeExpiredConfirmations removes confirmations older than confirmationRetention,
 // whose turns have usually ended. The caller holds l.mu.
 func (l *clientLink) removeExpiredConfirmations() {
--- /dev/null
+++ b/server/ledger/histories.go
@@ -0,0 +1,280 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/registry"
+	"hemlockvale.dev/server/rpc"
+)
+
+const (
+	// absenceLimit is how long a store VM may be missing from the reports before its
+	// histories are copied elsewhere. A VM that restarts is back earlier.
+	absenceLimit = 2 * time.Second
+	// copyBatch bounds the histories that one VM is asked to copy at a time, and
+	// maxCopiesPlanned those of one round.
+	copyBatch        = 48
+	maxCopiesPlanned = 512
+	// retireTimeout bounds the commit of a retirement.
+	retireTimeout = 500 * time.Millisecond
+)
+
+// MethodTurn is the RPC method that tells where the history of a turn lies. The leader
+// executes it.
+const MethodTurn = "ledger.turn"
+
+// TurnResponse is the response of MethodTurn to a history.Turn.
+type TurnResponse struct {
+	// Known is set if the directory has the turn.
+	Known bool `json:"known"`
+	// Holders are the store VMs that hold its record and reported recently; Absent are the
+	// storages of the others.
+	Holders []history.Store `json:"holders,omitempty"`
+	Absent  []string        `json:"absent,omitempty"`
+}
+
+// Copier makes store VMs copy histories from each other.
+type Copier interface {
+	// Copy makes the VM at the address to copy turns from the VM at the address from. It
+	// returns the turns that the VM holds afterwards.
+	Copy(ctx context.Context, to, from string, turns []history.Turn) ([]history.Turn, error)
+}
+
+// copyState is the state of the leader's task that keeps enough copies of each history.
+// Only that task uses it.
+type copyState struct {
+	// seen holds the store VMs that reported within absenceLimit, by storage, with the
+	// time of the last report on the boot clock.
+	seen map[string]seenStore
+	// missing is the number of histories with too few copies at the last check.
+	missing int
+}
+
+type seenStore struct {
+	history.Store
+	at time.Duration
+}
+
+// previousHolders returns the storages that hold the previous turn of a request. It
+// returns false if there is no such turn; the leader's state is complete, because it holds
+// a lease. The caller holds h.mu.
+func (h *Host) previousHolders(r *AdmitRequest) (holders []string, known bool) {
+	if r.PreviousTurn == "" {
+		return nil, true
+	}
+	t := history.Turn{Organisation: r.Organisation, ID: r.PreviousTurn}
+	h.options.Machine.readTurns(func(turns *history.Directory, _ int64) {
+		holders, known = turns.Lookup(t)
+	})
+	return holders, known
+}
+
+// keep proposes to record the holders of a turn and sends the outcome to the entry.
+func (h *Host) keep(r keepRequest, l *link) {
+	h.batcher.add(operation{keep: &r.Keep, onOutcome: func(accepted bool, err error) {
+		outcome := keepOutcome{Number: r.Number, State: keepDurable}
+		switch {
+		case err != nil:
+			outcome.State = keepUnknown
+		case !accepted:
+			outcome.State = keepRefused
+		}
+		l.send(kindKeepOutcome, &outcome)
+	}})
+}
+
+// commit waits for the outcome of an operation.
+func (h *Host) commit(ctx context.Context, op operation) (accepted bool, err error) {
+	done := make(chan error, 1)
+	op.onOutcome = func(ok bool, err error) {
+		accepted = ok
+		done <- err
+	}
+	h.batcher.add(op)
+	select {
+	case err := <-done:
+		return accepted, err
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+// leads reports whether this VM may decide now.
+func (h *Host) leads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.canAdmit()
+}
+
+// restoreCopies has missing copies of histories made, while this VM is the leader.
+func (h *Host) restoreCopies(ctx context.Context) {
+	if h.options.Copier == nil || !h.leads() {
+		h.copies = copyState{}
+		return
+	}
+	plan := h.planCopies()
+	if plan.Missing != h.copies.missing {
+		h.copies.missing = plan.Missing
+		h.options.Log.WithFields(logrus.Fields{"event": "history_copies", "missing": plan.Missing, "lost": plan.Lost, "planned": len(plan.Copies)}).Info("number of histories with too few copies changed")
+	}
+	h.makeCopies(ctx, plan.Copies)
+}
+
+// planCopies updates the store VMs that count as present and plans the missing copies.
+func (h *Host) planCopies() history.RepairPlan {
+	now := bootclock.Now()
+	if h.copies.seen == nil {
+		h.copies.seen = make(map[string]seenStore)
+	}
+	for _, s := range h.options.Stores() {
+		h.copies.forgetReplaced(s)
+		h.copies.seen[s.Storage] = seenStore{s, now}
+	}
+	var present []history.Store
+	for storage, s := range h.copies.seen {
+		if now-s.at > absenceLimit {
+			delete(h.copies.seen, storage)
+			continue
+		}
+		present = append(present, s.Store)
+	}
+	var plan history.RepairPlan
+	h.options.Machine.readTurns(func(turns *history.Directory, unixSeconds int64) {
+		plan = turns.PlanRepair(unixSeconds, present, h.options.Copies, maxCopiesPlanned)
+	})
+	return plan
+}
+
+// forgetReplaced removes the former disk of a VM that reports another one.
+func (c *copyState) forgetReplaced(s history.Store) {
+	for storage, other := range c.seen {
+		if other.RPCAddress == s.RPCAddress && storage != s.Storage {
+			delete(c.seen, storage)
+		}
+	}
+}
+
+// route is a pair of VMs between which histories are copied.
+type route struct{ from, to history.Store }
+
+// makeCopies has the planned copies made, by all destinations at the same time, and
+// records them.
+func (h *Host) makeCopies(ctx context.Context, copies []history.Copy) {
+	batches := make(map[string]map[route][]history.Copy)
+	for _, c := range copies {
+		destination := batches[c.To.Storage]
+		if destination == nil {
+			destination = make(map[route][]history.Copy)
+			batches[c.To.Storage] = destination
+		}
+		r := route{c.From, c.To}
+		if len(destination[r]) < copyBatch {
+			destination[r] = append(destination[r], c)
+		}
+	}
+	done := make(chan struct{}, len(batches))
+	for _, destination := range batches {
+		go func() {
+			for r, batch := range destination {
+				h.copyBatch(ctx, r, batch)
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range batches {
+		<-done
+	}
+}
+
+// copyBatch has one VM copy histories from another one and records the new holders.
+func (h *Host) copyBatch(ctx context.Context, r route, batch []history.Copy) {
+	turns := make([]history.Turn, len(batch))
+	for i, c := range batch {
+		turns[i] = c.Turn
+	}
+	copied, err := h.options.Copier.Copy(ctx, r.to.Address, r.from.Address, turns)
+	h.options.Log.WithFields(logrus.Fields{"event": "histories_copied", "from": r.from.Address, "to": r.to.Address, "wanted": len(turns), "copied": len(copied), "error": err}).Info("histories copied between store VMs")
+	for _, t := range copied {
+		h.batcher.add(operation{keep: &history.Keep{Turn: t, Holders: []string{r.to.Storage}, Copied: true}})
+	}
+}
+
+// emptyStorage excludes a storage from holding histories and reports whether none depends
+// on it any more.
+func (h *Host) emptyStorage(ctx context.Context, rpcAddress string) (bool, error) {
+	stores := h.options.Stores()
+	for _, s := range stores {
+		if s.RPCAddress != rpcAddress {
+			continue
+		}
+		retired, needed := false, false
+		h.options.Machine.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(s.Storage) })
+		if !retired {
+			ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+			defer cancel()
+			if _, err := h.commit(ctx, operation{retiredStorage: s.Storage}); err != nil {
+				return false, err
+			}
+		}
+		h.options.Machine.readTurns(func(turns *history.Directory, unixSeconds int64) {
+			needed = turns.Needs(unixSeconds, s.Storage, stores, h.options.Copies)
+		})
+		if needed {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// handleRemoveVoter moves all histories off a store VM that is being retired and removes
+// its replica.
+func (h *Host) handleRemoveVoter(ctx context.Context, params json.RawMessage) (any, error) {
+	var r registry.RemoveVoterRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, rpc.Errorf("bad_request", "remove voter: %v", err)
+	}
+	if h.options.Quorum.LeaderSince().IsZero() {
+		return nil, rpc.Errorf("not_leader", "this store VM does not lead")
+	}
+	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
+	defer cancel()
+	empty, err := h.emptyStorage(ctx, r.Address)
+	if err != nil {
+		return nil, rpc.Errorf("unavailable", "%v", err)
+	}
+	if !empty {
+		return registry.RemoveVoterResponse{}, nil
+	}
+	removed, err := h.options.Quorum.Retire(ctx, r.Address)
+	if err != nil {
+		return nil, rpc.Errorf("unavailable", "%v", err)
+	}
+	return registry.RemoveVoterResponse{Removed: removed}, nil
+}
+
+var errNotLeading = errors.New("this store VM does not admit requests")
+
+// handleTurn tells where the history of a turn lies.
+func (h *Host) handleTurn(_ context.Context, params json.RawMessage) (any, error) {
+	var t history.Turn
+	if err := json.Unmarshal(params, &t); err != nil {
+		return nil, rpc.Errorf("bad_request", "turn: %v", err)
+	}
+	if !h.leads() {
+		return nil, rpc.Errorf("not_leader", "%v", errNotLeading)
+	}
+	var response TurnResponse
+	var holders []string
+	h.options.Machine.readTurns(func(turns *history.Directory, _ int64) {
+		holders, response.Known = turns.Lookup(t)
+	})
+	response.Holders, response.Absent = history.Resolve(h.options.Stores(), holders)
+	return response, nil
+}
--- /dev/null
+++ b/server/ledger/histories_test.go
@@ -0,0 +1,161 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
+	"hemlockvale.dev/server/registry"
+)
+
+func historyStore(storage string) history.Store {
+	return history.Store{Storage: storage, Address: "history-" + storage, RPCAddress: "rpc-" + storage, DataCentre: storage}
+}
+
+func keepOf(id string, holders ...string) history.Keep {
+	return history.Keep{Turn: history.Turn{Organisation: "o", ID: id}, Holders: holders, RetentionSeconds: 60}
+}
+
+// continuation returns the request of a turn that continues another one.
+func continuation(organisation, id, previous string) AdmitRequest {
+	r := AdmitRequest{PreviousTurn: previous}
+	r.ID, r.Service, r.Organisation, r.TimeLeft = id, "s", organisation, 2*time.Second
+	return r
+}
+
+// TestContinuedTurns guards against a turn that is refused although the turn before was
+// kept, also after a restart, against one that continues a turn which does not exist or
+// belongs to another organisation, and against one that is charged although it is refused.
+func TestContinuedTurns(t *testing.T) {
+	dir := t.TempDir()
+	s := startStore(t, dir)
+	address := s.address
+	c := startClient(t, func() []string { return []string{address} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, c.Keep(ctx, keepOf("first", "a", "b")))
+	for range 2 {
+		response, err := c.Admit(ctx, continuation("o", "second", "first"))
+		require.NoError(t, err)
+		assert.Equal(t, "t", response.Target)
+		assert.Equal(t, []string{"a", "b"}, response.Holders)
+		c.Done(DoneReport{ID: "second", Target: "t", Result: "ok"})
+		for _, unknown := range []AdmitRequest{continuation("p", "third", "first"), continuation("o", "fourth", "never"), continuation("", "fifth", "o/first")} {
+			unknown.Reserve = &ledger.Reserve{Program: ledger.Program{Organisation: "o", ID: "p"}, Request: unknown.ID, Budget: 10, Tokens: 10}
+			response, err := c.Admit(ctx, unknown)
+			require.NoError(t, err)
+			assert.Equal(t, UnknownTurn, response.Refusal)
+			assert.Empty(t, response.Holders)
+		}
+		assert.Zero(t, s.host.options.Machine.charged(ledger.Program{Organisation: "o", ID: "p"}))
+		s.stop()
+		s = startStore(t, dir)
+		address = s.address
+	}
+}
+
+// TestRetirementMovesHistories guards against a store VM that is reported as empty while a
+// history has too few copies on other VMs, and against new histories on it.
+func TestRetirementMovesHistories(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.setStores(historyStore("a"), historyStore("b"))
+	c := startClient(t, func() []string { return []string{s.address} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, c.Keep(ctx, keepOf("x", "a", "b")))
+	retire := func() bool {
+		params, err := json.Marshal(registry.RemoveVoterRequest{Address: "rpc-a"})
+		require.NoError(t, err)
+		response, err := s.host.handleRemoveVoter(ctx, params)
+		if err != nil {
+			// The quorum of one VM has no membership policy, so it removes no voter. The
+			// histories have been checked by then.
+			require.ErrorContains(t, err, "not the leader")
+			return true
+		}
+		return response.(registry.RemoveVoterResponse).Removed
+	}
+	for range 3 {
+		require.False(t, retire(), "no other VM can take a copy")
+	}
+	require.ErrorIs(t, c.Keep(ctx, keepOf("y", "a", "b")), ErrHolderRetired)
+	s.setStores(historyStore("a"), historyStore("b"), historyStore("c"))
+	require.Eventually(t, retire, 5*time.Second, 20*time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.NotEmpty(t, s.copied)
+	assert.Contains(t, []string{"o/x history-a history-c", "o/x history-b history-c"}, s.copied[0])
+}
+
+// TestLostDiskIsReplaced guards against histories that stay with too few copies after a VM
+// has lost its disk, and against copies that are made because a VM restarts.
+func TestLostDiskIsReplaced(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.setStores(historyStore("a"), historyStore("b"), historyStore("c"))
+	c := startClient(t, func() []string { return []string{s.address} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, c.Keep(ctx, keepOf("x", "a", "b")))
+	time.Sleep(2 * copyInterval)
+	s.setStores(historyStore("a"), historyStore("c"))
+	time.Sleep(absenceLimit / 2)
+	s.setStores(historyStore("a"), historyStore("b"), historyStore("c"))
+	time.Sleep(2 * copyInterval)
+	s.mu.Lock()
+	assert.Empty(t, s.copied, "the VM was absent for a short time")
+	s.mu.Unlock()
+	s.setStores(historyStore("a"), historyStore("c"))
+	start := time.Now()
+	holders := func() []string {
+		response, err := c.Admit(ctx, continuation("o", time.Now().String(), "x"))
+		require.NoError(t, err)
+		c.Done(DoneReport{ID: response.ID, Target: response.Target, Result: "ok"})
+		return response.Holders
+	}
+	require.Eventually(t, func() bool { return len(holders()) == 3 }, 2*absenceLimit, 50*time.Millisecond)
+	assert.GreaterOrEqual(t, time.Since(start), absenceLimit-2*copyInterval)
+
+	emptied := historyStore("a2")
+	emptied.RPCAddress = historyStore("a").RPCAddress
+	s.setStores(emptied, historyStore("c"))
+	start = time.Now()
+	require.Eventually(t, func() bool { return slices.Contains(holders(), "a2") }, absenceLimit, 20*time.Millisecond)
+	assert.Less(t, time.Since(start), absenceLimit/2, "a VM that reports another disk has lost the former one")
+}
+
+// TestTurnIsLocated guards against a wrong answer to an operator who looks for a turn.
+func TestTurnIsLocated(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.setStores(historyStore("a"))
+	c := startClient(t, func() []string { return []string{s.address} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, c.Keep(ctx, keepOf("x", "a", "b")))
+	for id, want := range map[string]TurnResponse{"x": {Known: true, Holders: []history.Store{historyStore("a")}, Absent: []string{"b"}}, "z": {}} {
+		params, err := json.Marshal(history.Turn{Organisation: "o", ID: id})
+		require.NoError(t, err)
+		response, err := s.host.handleTurn(ctx, params)
+		require.NoError(t, err)
+		assert.Equal(t, want, response)
+	}
+}
+
+// TestCommandOfAnEarlierRelease guards against a log whose entries are skipped after an
+// upgrade, so that budgets are forgotten.
+func TestCommandOfAnEarlierRelease(t *testing.T) {
+	data, err := compact.Marshal(firstCommand{UnixSeconds: 5, Reserves: []ledger.Reserve{*turnRequest("a", 100, 60).Reserve}})
+	require.NoError(t, err)
+	m := NewMachine()
+	assert.Equal(t, ledger.Result{Reserved: []bool{true}, Kept: []bool{}}, m.Apply(1, data))
+	assert.EqualValues(t, 60, m.charged(ledger.Program{Organisation: "o", ID: "p"}))
+	_, isError := m.Apply(2, []byte("garbage")).(error)
+	assert.True(t, isError)
+}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -16,7 +16,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -25,6 +24,7 @@
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/periodic"
@@ -48,6 +48,8 @@
 	sweepInterval = 500 * time.Millisecond
 	// removeTimeout bounds the removal of a replica.
 	removeTimeout = 800 * time.Millisecond
+	// copyInterval is the time between two checks for histories with too few copies.
+	copyInterval = 150 * time.Millisecond
 )
 
 // Options configures a Host.
@@ -58,6 +60,12 @@
 	Machine *Machine
 	// View returns the latest view of the catalog.
 	View func() *registry.View
+	// Stores returns the store VMs that reported recently.
+	Stores func() []history.Store
+	// Copies is the number of store VMs that hold each history.
+	Copies int
+	// Copier makes store VMs copy histories; nil if histories are not copied.
+	Copier Copier
 	// Seed initialises the dispatcher's random numbers.
 	Seed uint64
 	// Log receives events and one line for each admission.
@@ -84,6 +92,7 @@
 	// number of tokens of each program in reservations that are not applied yet.
 	reservations   map[string]*reservation
 	proposedTokens map[ledger.Program]int64
+	copies         copyState
 }
 
 // admission is an admission request and its outcome.
@@ -94,6 +103,8 @@
 	receivedAt time.Duration
 	// response is nil while the request is queued.
 	response *AdmitResponse
+	// holders are the storages that hold the record of the previous turn.
+	holders []string
 }
 
 // New returns a host. Run must be called for it to admit requests.
@@ -114,6 +125,7 @@
 func (h *Host) Register(s *rpc.Server) {
 	s.HandleConn(Preface, h.serveLink)
 	s.Handle(registry.MethodRemoveVoter, h.handleRemoveVoter)
+	s.Handle(MethodTurn, h.handleTurn)
 }
 
 // Run renews the lease, writes batches and drops expired requests until ctx ends.
@@ -121,6 +133,7 @@
 	go h.batcher.run(ctx)
 	go periodic.Every(ctx, tickInterval, h.tick)
 	go periodic.Every(ctx, sweepInterval, h.sweep)
+	go periodic.Every(ctx, copyInterval, func() { h.restoreCopies(ctx) })
 	periodic.Every(ctx, leaseInterval, func() { h.renewLease(ctx) })
 }
 
@@ -198,6 +211,12 @@
 		return
 	}
 	h.admissions[r.ID] = a
+	holders, known := h.previousHolders(r)
+	if !known {
+		h.finish(a, AdmitResponse{Refusal: UnknownTurn})
+		return
+	}
+	a.holders = holders
 	if r.Reserve != nil {
 		r.StartsProgram = h.options.Machine.charged(r.Reserve.Program) == 0 && h.proposedTokens[r.Reserve.Program] == 0
 		r.ContinuesProgram = !r.StartsProgram
@@ -214,9 +233,10 @@
 
 // finish sends the outcome of an admission to the entry and logs it.
 func (h *Host) finish(a *admission, r AdmitResponse) {
-	r.ID, r.Attempt = a.request.ID, a.request.Attempt
+	r.ID, r.Attempt, r.Holders = a.request.ID, a.request.Attempt, a.holders
 	a.response = &r
-	if r.Refusal != "" {
+	if r.Refusal != "" && a.request.Attempt == 0 {
+		// After an earlier attempt, the entry settles what it has delivered.
 		h.releaseReservation(a)
 	}
 	a.link.send(kindAdmitResponse, &r)
@@ -323,21 +343,3 @@
 		}
 	}
 }
-
-// handleRemoveVoter removes the replica of a store VM that is being retired.
-func (h *Host) handleRemoveVoter(ctx context.Context, params json.RawMessage) (any, error) {
-	var r registry.RemoveVoterRequest
-	if err := json.Unmarshal(params, &r); err != nil {
-		return nil, rpc.Errorf("bad_request", "remove voter: %v", err)
-	}
-	if h.options.Quorum.LeaderSince().IsZero() {
-		return nil, rpc.Errorf("not_leader", "this store VM does not lead")
-	}
-	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
-	defer cancel()
-	removed, err := h.options.Quorum.Retire(ctx, r.Address)
-	if err != nil {
-		return nil, rpc.Errorf("unavailable", "%v", err)
-	}
-	return registry.RemoveVoterResponse{Removed: removed}, nil
-}
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/quorum"
 	"hemlockvale.dev/server/registry"
@@ -39,6 +41,35 @@
 	quorum  *quorum.Quorum
 	host    *Host
 	stop    context.CancelFunc
+
+	mu sync.Mutex
+	// stores are the store VMs that serve histories, and copied the turns that they were
+	// asked to copy, as TURN FROM TO.
+	stores []history.Store
+	copied []string
+}
+
+func (s *testStore) historyStores() []history.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.stores)
+}
+
+// Copy implements Copier: all copies succeed.
+func (s *testStore) Copy(_ context.Context, to, from string, turns []history.Turn) ([]history.Turn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range turns {
+		s.copied = append(s.copied, t.String()+" "+from+" "+to)
+	}
+	return turns, nil
+}
+
+// setStores replaces the store VMs that serve histories.
+func (s *testStore) setStores(stores ...history.Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stores = stores
 }
 
 func startStore(t *testing.T, dir string) *testStore {
@@ -54,7 +85,10 @@
 	})
 	require.NoError(t, err)
 	view := &registry.View{Revision: 1, Targets: []catalog.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", Slots: 1, State: catalog.Ready}}}
-	s.host = New(Options{Quorum: s.quorum, Machine: machine, View: func() *registry.View { return view }, Log: discardLogger(), Metrics: gometrics.NewRegistry()})
+	s.host = New(Options{
+		Quorum: s.quorum, Machine: machine, View: func() *registry.View { return view }, Stores: s.historyStores, Copies: 2, Copier: s,
+		Log: discardLogger(), Metrics: gometrics.NewRegistry(),
+	})
 	s.host.Register(s.server)
 	s.quorum.Register(s.server)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -161,7 +195,7 @@
 // TestMessagesKeepTheirFields guards against an encoding that loses a field.
 func TestMessagesKeepTheirFields(t *testing.T) {
 	sent := turnRequest("a", 100, 60)
-	sent.Attempt, sent.Organisation, sent.Exclude = 2, "o", []string{"x"}
+	sent.Attempt, sent.Organisation, sent.Exclude, sent.PreviousTurn = 2, "o", []string{"x"}, "before"
 	sent.Parts = []dispatch.Part{{ID: "p", Tokens: 7}}
 	sent.Limits = dispatch.Limits{Version: 3, RatePerSecond: 1.5, Burst: 2}
 	message, err := encode(kindAdmit, &sent)
@@ -182,7 +216,7 @@
 	if p.err != nil {
 		return nil, p.err
 	}
-	return []bool{true}, nil
+	return ledger.Result{Reserved: []bool{true}}, nil
 }
 
 // TestBatchOutcomes guards against a reservation that is reported as durable although
@@ -200,3 +234,25 @@
 		})
 	}
 }
+
+// TestRefusedRetryStaysCharged guards against tokens that were delivered but not charged,
+// because the request was refused when it needed a second target.
+func TestRefusedRetryStaysCharged(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	c := startClient(t, func() []string { return []string{s.address} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	turn := turnRequest("a", 100, 60)
+	_, err := c.Admit(ctx, turn)
+	require.NoError(t, err)
+	require.NoError(t, c.Confirm(ctx, *turn.Reserve))
+	c.Done(DoneReport{ID: "a", Target: "t", Result: dispatch.Broken})
+	turn.Attempt, turn.Service = 1, "service without targets"
+	response, err := c.Admit(ctx, turn)
+	require.NoError(t, err)
+	require.NotEmpty(t, response.Refusal)
+	charged := func() int64 { return s.host.options.Machine.charged(turn.Reserve.Program) }
+	assert.EqualValues(t, 60, charged())
+	c.Done(DoneReport{ID: "a", Result: dispatch.Abandoned, Settle: Settlement(turn.Reserve, 10)})
+	require.Eventually(t, func() bool { return charged() == 10 }, time.Second, time.Millisecond)
+}
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -120,6 +120,12 @@
 			return err
 		}
 		h.confirm(r, l)
+	case kindKeep:
+		var r keepRequest
+		if err := compact.Unmarshal(payload, &r); err != nil {
+			return err
+		}
+		h.keep(r, l)
 	case kindDone:
 		var r DoneReport
 		if err := compact.Unmarshal(payload, &r); err != nil {
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/compact"
 )
@@ -22,11 +23,10 @@
 // NewMachine returns a state machine with an empty ledger.
 func NewMachine() *Machine { return &Machine{state: ledger.New()} }
 
-// Apply executes a committed batch. It returns a []bool that reports for each
-// reservation whether the budget covers it, or an error.
+// Apply executes a committed batch. It returns a ledger.Result or an error.
 func (m *Machine) Apply(_ uint64, data []byte) any {
-	var c ledger.Command
-	if err := compact.Unmarshal(data, &c); err != nil {
+	c, err := decodeCommand(data)
+	if err != nil {
 		// Only this program writes the log, so an entry that cannot be decoded is a bug
 		// in it. All replicas skip the same entry, so their states stay equal.
 		return err
@@ -36,6 +36,27 @@
 	return m.state.Apply(c)
 }
 
+// firstCommand is the form of a command in logs of releases without histories.
+type firstCommand struct {
+	UnixSeconds int64
+	Reserves    []ledger.Reserve
+	Settles     []ledger.Settle
+}
+
+// decodeCommand decodes a command of this or of an earlier release.
+func decodeCommand(data []byte) (ledger.Command, error) {
+	var c ledger.Command
+	err := compact.Unmarshal(data, &c)
+	if err == nil {
+		return c, nil
+	}
+	var first firstCommand
+	if compact.Unmarshal(data, &first) != nil {
+		return c, err
+	}
+	return ledger.Command{UnixSeconds: first.UnixSeconds, Reserves: first.Reserves, Settles: first.Settles}, nil
+}
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
@@ -68,6 +89,14 @@
 	return m.state.Programs()
 }
 
+// readTurns calls read with the directory of kept histories and the time of the state in
+// Unix seconds. read must not keep the directory.
+func (m *Machine) readTurns(read func(turns *history.Directory, unixSeconds int64)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	read(m.state.Turns(), m.state.UnixSeconds())
+}
+
 const (
 	// maxBatchOperations bounds the number of operations in one log entry.
 	maxBatchOperations = 256
@@ -77,12 +106,16 @@
 	proposeTimeout = time.Second
 )
 
-// operation is one change of the ledger. Exactly one of reserve and settle is set.
+// operation is one change of the ledger. Exactly one of reserve, settle, keep and
+// retiredStorage is set.
 type operation struct {
-	reserve *ledger.Reserve
-	settle  *ledger.Settle
-	// onOutcome receives the outcome of a reservation; nil for a settlement.
-	onOutcome func(covered bool, err error)
+	reserve        *ledger.Reserve
+	settle         *ledger.Settle
+	keep           *history.Keep
+	retiredStorage string
+	// onOutcome receives the outcome: whether a reservation is covered or a keep was
+	// accepted. It may be nil for a settlement.
+	onOutcome func(accepted bool, err error)
 }
 
 // proposer is the part of *quorum.Quorum that the batcher uses.
@@ -143,43 +176,61 @@
 func (b *batcher) propose(ctx context.Context, batch []operation) {
 	command := ledger.Command{UnixSeconds: time.Now().Unix()}
 	for _, op := range batch {
-		if op.reserve != nil {
+		switch {
+		case op.reserve != nil:
 			command.Reserves = append(command.Reserves, *op.reserve)
-		} else {
+		case op.settle != nil:
 			command.Settles = append(command.Settles, *op.settle)
+		case op.keep != nil:
+			command.Keeps = append(command.Keeps, *op.keep)
+		default:
+			command.RetiredStorages = append(command.RetiredStorages, op.retiredStorage)
 		}
 	}
 	result, err := b.commit(ctx, command)
 	if err != nil {
-		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles)}).WithError(err).Warn("batch not confirmed")
+		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles), "keeps": len(command.Keeps)}).WithError(err).Warn("batch not confirmed")
 	}
-	i := 0
 	for _, op := range batch {
-		if op.reserve == nil {
-			continue
+		accepted := err == nil
+		switch {
+		case op.reserve != nil:
+			accepted = accepted && takeFirst(&result.Reserved)
+		case op.keep != nil:
+			accepted = accepted && takeFirst(&result.Kept)
 		}
-		covered := err == nil && i < len(result) && result[i]
-		i++
-		op.onOutcome(covered, err)
+		if op.onOutcome != nil {
+			op.onOutcome(accepted, err)
+		}
+	}
+}
+
+// takeFirst removes and returns the first value of a list; false if it is empty.
+func takeFirst(list *[]bool) bool {
+	if len(*list) == 0 {
+		return false
 	}
+	first := (*list)[0]
+	*list = (*list)[1:]
+	return first
 }
 
-func (b *batcher) commit(ctx context.Context, c ledger.Command) ([]bool, error) {
+func (b *batcher) commit(ctx context.Context, c ledger.Command) (ledger.Result, error) {
 	data, err := compact.Marshal(c)
 	if err != nil {
-		return nil, fmt.Errorf("encode batch: %w", err)
+		return ledger.Result{}, fmt.Errorf("encode batch: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	result, err := b.quorum.Propose(ctx, data)
 	if err != nil {
-		return nil, err
+		return ledger.Result{}, err
 	}
 	switch result := result.(type) {
-	case []bool:
+	case ledger.Result:
 		return result, nil
 	case error:
-		return nil, result
+		return ledger.Result{}, result
 	}
-	return nil, fmt.Errorf("unexpected result %T", result)
+	return ledger.Result{}, fmt.Errorf("unexpected result %T", result)
 }
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/compact"
 )
@@ -16,11 +17,15 @@
 // Preface is sent first on a connection from an entry to a store VM. The connection
 // carries compact binary messages instead of JSON, because every request of the
 // deployment causes several of them.
-const Preface = "HVL1"
+const Preface = "HVL2"
 
 // BudgetExhausted is the refusal of a turn that the program's budget does not cover.
 const BudgetExhausted dispatch.Refusal = "budget_exhausted"
 
+// UnknownTurn is the refusal of a turn whose previous turn does not exist or belongs to
+// another organisation. The ledger is certain of that.
+const UnknownTurn dispatch.Refusal = "unknown_turn"
+
 // messageKind is the type of a message. Its values are part of the protocol.
 type messageKind byte
 
@@ -40,6 +45,9 @@
 	kindPong
 	// kindNotLeader names the leader; the entry then closes the connection.
 	kindNotLeader
+	// kindKeep records which store VMs hold a turn; kindKeepOutcome is the response.
+	kindKeep
+	kindKeepOutcome
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -51,6 +59,9 @@
 	Attempt int
 	// Reserve is the reservation of a turn with a budget; otherwise nil.
 	Reserve *ledger.Reserve
+	// PreviousTurn is the id of the turn whose history the request continues; empty if
+	// there is none.
+	PreviousTurn string
 }
 
 // AdmitResponse is the outcome of an admission.
@@ -73,6 +84,8 @@
 	Cached int64
 	// Reason explains the choice of the target, for logs.
 	Reason string
+	// Holders are the storages that hold the record of the previous turn.
+	Holders []string
 }
 
 // reservationOutcome reports the outcome of a reservation.
@@ -96,6 +109,31 @@
 	stateUnknown
 )
 
+// keepRequest records which store VMs hold a turn.
+type keepRequest struct {
+	// Number identifies the request on its connection.
+	Number uint64
+	Keep   history.Keep
+}
+
+// keepOutcome is the response to a keepRequest.
+type keepOutcome struct {
+	Number uint64
+	State  keepState
+}
+
+// keepState is the outcome of a keepRequest.
+type keepState int8
+
+const (
+	// keepDurable means that the directory on a quorum of disks has the turn.
+	keepDurable keepState = iota + 1
+	// keepRefused means that a holder is retired, so that others must be used.
+	keepRefused
+	// keepUnknown means that the change was not confirmed and has to be requested again.
+	keepUnknown
+)
+
 // DoneReport reports how a request ended at a target.
 type DoneReport struct {
 	// ID and Target identify the grant. Target is empty for a request that was
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/server/forward"
+	"hemlockvale.dev/server/history"
 	"hemlockvale.dev/server/ledger"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/quorum"
@@ -85,6 +88,7 @@
 	var leader atomic.Value
 	leader.Store("")
 	var host atomic.Pointer[ledger.Host]
+	var storage atomic.Pointer[string]
 	taskCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	follower := registry.NewFollower(registry.FollowerOptions{
@@ -92,6 +96,9 @@
 		Self: func() registry.VM {
 			vm := p.describeVM()
 			vm.StoreLeader = leader.Load().(string)
+			if storage := storage.Load(); storage != nil {
+				vm.Storage, vm.HistoryAddress = *storage, p.Settings.VM.HistoryAddress
+			}
 			return vm
 		},
 		OnChange: func(v *registry.View) {
@@ -106,7 +113,17 @@
 	if err != nil {
 		return err
 	}
-	h := ledger.New(ledger.Options{Quorum: q, Machine: machine, View: follower.View, Seed: xxhash.Sum64String(p.Settings.VM.ID), Log: p.Log, Metrics: p.metrics})
+	historyClient := history.NewClient()
+	historyServer, err := p.serveHistories(taskCtx, historyClient)
+	if err != nil {
+		return errors.Join(err, q.Close())
+	}
+	self := q.Self().Storage
+	storage.Store(&self)
+	h := ledger.New(ledger.Options{
+		Quorum: q, Machine: machine, View: follower.View, Stores: follower.HistoryStores, Copies: p.historyCopies(), Copier: historyClient,
+		Seed: xxhash.Sum64String(p.Settings.VM.ID), Log: p.Log, Metrics: p.metrics,
+	})
 	host.Store(h)
 	q.Register(p.rpc)
 	h.Register(p.rpc)
@@ -119,9 +136,24 @@
 	failure := p.wait(ctx)
 	p.Log.WithField("event", "stopping").Info("planned stop started")
 	stop()
-	return errors.Join(failure, q.Close())
+	return errors.Join(failure, historyServer.Close(), q.Close())
 }
 
+// serveHistories opens the records in the data directory and serves them until ctx ends.
+func (p *process) serveHistories(ctx context.Context, c *history.Client) (*http.Server, error) {
+	disk, err := history.OpenDisk(filepath.Join(p.Settings.Formation.DataDir, "histories"), p.Log)
+	if err != nil {
+		return nil, fmt.Errorf("formation.data_dir: %w", err)
+	}
+	go disk.Run(ctx)
+	service := history.NewService(disk, c, p.Log, p.metrics)
+	return p.serve("vm.history_address", p.Settings.VM.HistoryAddress, service.Handler())
+}
+
+// historyCopies returns the number of store VMs that hold each history, so that one is left
+// after the loss of as many VMs as the deployment must tolerate.
+func (p *process) historyCopies() int { return p.Settings.Formation.TolerateLosses + 1 }
+
 // trackLeader stores this VM's address in leader while the VM is the leader of the store
 // group, and "" otherwise. The VM's reports to the control role include the value.
 func trackLeader(ctx context.Context, q *quorum.Quorum, leader *atomic.Value) {
@@ -180,7 +212,8 @@
 	client := ledger.NewClient(ledger.ClientOptions{Leader: follower.StoreLeader, Stores: follower.Stores, Log: p.Log})
 	go client.Run(taskCtx)
 	e := forward.New(forward.Options{
-		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, HeaderCodec: p.Adapter.HeaderCodec(),
+		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
+		HistoryStores: follower.HistoryStores, HistoryCopies: p.historyCopies(), HeaderCodec: p.Adapter.HeaderCodec(),
 		DataCentre: p.Settings.VM.DataCentre, Log: p.Log, Metrics: p.metrics,
 	})
 	go e.Run(taskCtx)
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
@@ -139,6 +140,7 @@
 	controlAddresses map[string][]string
 	storeLeader      string
 	stores           []string
+	historyStores    []history.Store
 
 	// fetchMu is held during a transfer.
 	fetchMu sync.Mutex
@@ -184,6 +186,14 @@
 	return addresses
 }
 
+// HistoryStores returns the store VMs that serve histories and reported recently to the
+// control role. The caller must not change the result.
+func (f *Follower) HistoryStores() []history.Store {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.historyStores
+}
+
 // Run watches all known control VMs until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	lost := true
@@ -297,6 +307,9 @@
 	if len(m.Stores) > 0 {
 		f.stores = m.Stores
 	}
+	if len(m.HistoryStores) > 0 {
+		f.historyStores = m.HistoryStores
+	}
 }
 
 // fetch requests the changes of the catalog from a control VM and adopts them. Only one
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/routing"
 )
 
@@ -57,6 +58,10 @@
 	// StoreLeader is the RPC address of the ledger's leader, as far as a store VM
 	// knows it; otherwise empty.
 	StoreLeader string `json:"store_leader,omitempty"`
+	// Storage identifies the disk of a store VM, and HistoryAddress is the address at
+	// which it serves histories; both are empty until it does.
+	Storage        string `json:"storage,omitempty"`
+	HistoryAddress string `json:"history_address,omitempty"`
 }
 
 // WatchRequest reports a VM and waits for a newer revision. Watches are frequent, so
@@ -94,6 +99,8 @@
 	Stores []string `json:"s,omitempty"`
 	// StoreLeader is the RPC address of the ledger's leader; empty if unknown.
 	StoreLeader string `json:"l,omitempty"`
+	// HistoryStores holds the store VMs that serve histories and reported recently.
+	HistoryStores []history.Store `json:"h,omitempty"`
 }
 
 // digest returns a hash of the content.
@@ -106,6 +113,9 @@
 		}
 		_, _ = d.WriteString("/")
 	}
+	for _, s := range m.HistoryStores {
+		_, _ = fmt.Fprintf(d, "%v ", s)
+	}
 	return d.Sum64()
 }
 
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -22,6 +22,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/quorum"
@@ -84,6 +85,8 @@
 type Registry struct {
 	options Options
 	started time.Time
+	// retireMu is held while a retirement is checked and committed.
+	retireMu sync.Mutex
 
 	mu sync.Mutex
 	// reports holds the latest report of each VM, by VM id.
@@ -286,6 +289,7 @@
 	}
 	members := Members{Control: g.controlAddresses()}
 	members.StoreLeader, members.Stores = g.liveStores()
+	members.HistoryStores = g.historyStores()
 	cached = cachedMembers{members, members.digest(), time.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -379,6 +383,23 @@
 	return leader, addresses
 }
 
+// historyStores returns the store VMs that serve histories and reported recently.
+func (g *Registry) historyStores() []history.Store {
+	retiring := make(map[string]bool)
+	g.options.Machine.read(func(s *catalog.State) {
+		for node := range s.Retirements {
+			retiring[node] = true
+		}
+	})
+	var stores []history.Store
+	for _, vm := range g.liveVMs("store") {
+		if vm.Storage != "" {
+			stores = append(stores, history.Store{Storage: vm.Storage, Address: vm.HistoryAddress, RPCAddress: vm.RPCAddress, DataCentre: vm.DataCentre, Retiring: retiring[vm.Node]})
+		}
+	}
+	return stores
+}
+
 // controlAddresses returns the addresses of the quorum's members and of the seeds.
 func (g *Registry) controlAddresses() []string {
 	members := g.options.Quorum.Addresses()
--- a/server/settings/node.go
+++ b/server/settings/node.go
@@ -49,6 +49,8 @@
 	// RPCListen is the IP:port on which the process listens for other VMs if they reach it
 	// through a forwarder; the default is RPCAddress.
 	RPCListen string `json:"rpc_listen,omitempty"`
+	// HistoryAddress is the IP:port at which a store VM serves the histories of programs.
+	HistoryAddress string `json:"history_address,omitempty"`
 	// MetricsAddress is the IP:port that serves the metrics; empty disables it.
 	MetricsAddress string `json:"metrics_address,omitempty"`
 	// MemoryMB is the memory in MiB that the process may use, from which the memory limit
@@ -214,6 +216,7 @@
 		c.checkAddress("control.address", n.Control.Address)
 		c.checkAddress("control.directory_address", n.Control.DirectoryAddress)
 	case RoleStore:
+		c.checkAddress("vm.history_address", n.VM.HistoryAddress)
 	default:
 		c.report("vm.role", "%q is not entry, control or store", n.VM.Role)
 	}
