rpc: send no pings on connections that carry calls often

Cause: each VM keeps a connection with a watch to each control VM; a ping every 0.5 s crossed data centres although a response arrives every second. Pings are now sent after one second without a response. Test: TestBusyConnectionSendsNoPings.

--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -183,8 +183,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", p.address, ErrUnreachable, err)
 	}
-	p.conn = jsonrpc2.NewConn(context.Background(), newStream(c, p.traffic), rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
-	go p.heartbeat(p.conn)
+	s := newStream(c, p.traffic)
+	p.conn = jsonrpc2.NewConn(context.Background(), s, rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
+	go p.heartbeat(p.conn, s)
 	p.calls++
 	return p.conn, nil
 }
@@ -236,10 +237,10 @@
 	return ignoreClosed(p.conn.Close())
 }
 
-// heartbeat sends pings while calls are in progress, so that data flows in both
-// directions. When the responses stop, the read deadline of the stream closes the
-// connection. heartbeat also closes an idle connection.
-func (p *peer) heartbeat(conn *jsonrpc2.Conn) {
+// heartbeat sends pings while calls are in progress and no responses arrive, so that data
+// flows in both directions. When the responses to pings stop, the read deadline of the
+// stream closes the connection. heartbeat also closes an idle connection.
+func (p *peer) heartbeat(conn *jsonrpc2.Conn, s *stream) {
 	ticker := time.NewTicker(PingInterval)
 	defer ticker.Stop()
 	for {
@@ -250,7 +251,7 @@
 			if p.closeIdle(conn) {
 				return
 			}
-			if !p.hasCalls() {
+			if !p.hasCalls() || s.sinceRead() < quietTime {
 				continue
 			}
 			// The response only renews the read deadline; its content is not used.
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -19,8 +19,12 @@
 
 const (
 	// PingInterval is the time between two pings on a client connection with calls in
-	// progress.
+	// progress, if no other responses arrive.
 	PingInterval = 500 * time.Millisecond
+	// quietTime is the time without a response after which pings are sent. Together with
+	// PingInterval it is shorter than SilenceTimeout, so that the server hears from the
+	// client in time.
+	quietTime = SilenceTimeout / 2
 	// SilenceTimeout is the time without received data after which a connection is closed.
 	SilenceTimeout = 2 * time.Second
 	// IdleTimeout is the time without calls after which the client closes a connection.
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -134,6 +134,26 @@
 	require.NoError(t, pool.Call(t.Context(), l.Addr().String(), "echo", 1, nil))
 }
 
+// TestBusyConnectionSendsNoPings guards against pings on connections that carry calls
+// often: every VM keeps such a connection to each control VM.
+func TestBusyConnectionSendsNoPings(t *testing.T) {
+	address := startServer(t)
+	pool := NewPool(time.Second)
+	defer pool.Close()
+	require.NoError(t, pool.Call(t.Context(), address, "echo", 1, nil))
+	before := pool.Traffic().Sent.Load()
+	require.NoError(t, pool.Call(t.Context(), address, "echo", 1, nil))
+	perCall := pool.Traffic().Sent.Load() - before
+	const calls = 20
+	for range calls {
+		go func() { _ = pool.Call(t.Context(), address, "slow", nil, nil) }()
+		time.Sleep(PingInterval / 5)
+		require.NoError(t, pool.Call(t.Context(), address, "echo", 1, nil))
+	}
+	sent := pool.Traffic().Sent.Load() - before - perCall
+	require.Less(t, sent, 2*calls*(perCall+4), "only the calls are sent")
+}
+
 // TestIdleConnectionIsClosed guards against keeping unused connections open, which would
 // cost pings, and against closing a connection as idle while a call is in progress.
 func TestIdleConnectionIsClosed(t *testing.T) {
--- a/server/rpc/stream.go
+++ b/server/rpc/stream.go
@@ -26,6 +26,8 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	writeMu sync.Mutex
+	// lastRead is the Unix time in nanoseconds of the last message.
+	lastRead atomic.Int64
 }
 
 // newStream returns a stream that counts the bytes of the connection in t.
@@ -88,7 +90,16 @@
 }
 
 // ReadObject reads one message.
-func (s *stream) ReadObject(v any) error { return readFrame(s.r, v) }
+func (s *stream) ReadObject(v any) error {
+	err := readFrame(s.r, v)
+	s.lastRead.Store(time.Now().UnixNano())
+	return err
+}
+
+// sinceRead returns the time since the last message.
+func (s *stream) sinceRead() time.Duration {
+	return time.Duration(time.Now().UnixNano() - s.lastRead.Load())
+}
 
 // Close closes the underlying connection.
 func (s *stream) Close() error { return s.conn.Close() }
