ledger: find the next leader at several addresses, wait for it at the VM

Cause: after the loss of the leader, entries dialled one store VM after the other, every other time the lost one, 31 of 36 of which take no part in the ledger. Store VMs now name the members of the group; an entry tries the known leader and a member at once and follows hints within the search; a VM that knows no other leader than the lost one holds its response until it does.

Ruled out: the election (0.35 s) and the lease (0.08 s).

--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,9 +23,13 @@
 	// unavailableWait bounds the wait of a request for a leader once no store VM has
 	// admitted requests for longer than electionWait.
 	unavailableWait = 150 * time.Millisecond
-	// dialRetryDelay is the delay after a connection attempt that did not reach the
-	// leader.
+	// dialRetryDelay is the delay after a search that did not find the leader.
 	dialRetryDelay = 30 * time.Millisecond
+	// maxDials bounds the connection attempts of one search.
+	maxDials = 6
+	// memberSearches is the number of searches after which one also asks store VMs that
+	// are not known as members of the ledger's group.
+	memberSearches = 4
 	// reportQueueSize bounds the number of queued done reports.
 	reportQueueSize = 8192
 	// maxReportAge is the time during which sending a done report is retried.
@@ -62,12 +69,16 @@
 
 	mu   sync.Mutex
 	link *clientLink
-	// dialDone is closed when the current connection attempt ends; nil if there is
+	// searchDone is closed when the current search for the leader ends; nil if there is
 	// none.
-	dialDone chan struct{}
-	// leaderHint is the address of the leader that another store VM named.
-	leaderHint   string
-	dialAttempts int
+	searchDone chan struct{}
+	// lostLeader is the address of the leader whose connection failed last, and successor
+	// that of the leader that it named; both are empty while there is a connection.
+	lostLeader, successor string
+	// members are the store VMs that last were known to hold a replica of the ledger.
+	members []string
+	// searches counts the searches; offset makes entries ask different store VMs.
+	searches, offset int
 	// unavailableSince is the time of the first failure since a store VM last decided
 	// about a request; zero if there was none.
 	unavailableSince time.Time
@@ -81,7 +92,7 @@
 
 // NewClient returns a client. Run must be called to send its done reports.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize)}
+	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), offset: rand.IntN(math.MaxInt16)}
 }
 
 // Admit requests a target for r and retries until a store VM decides about it. It
@@ -182,7 +193,7 @@
 }
 
 // connect returns the connection to the leader, or nil if ctx ends first. Concurrent
-// callers wait for the same connection attempt.
+// callers wait for the same search.
 func (c *Client) connect(ctx context.Context) *clientLink {
 	for ctx.Err() == nil {
 		c.mu.Lock()
@@ -191,58 +202,128 @@
 			c.mu.Unlock()
 			return l
 		}
-		dialDone := c.dialDone
-		if dialDone == nil {
-			c.dialDone = make(chan struct{})
-			go c.dial(c.nextAddress())
-			dialDone = c.dialDone
+		searchDone := c.searchDone
+		if searchDone == nil {
+			c.searchDone = make(chan struct{})
+			go c.search(c.candidates())
+			searchDone = c.searchDone
 		}
 		c.mu.Unlock()
 		select {
-		case <-dialDone:
+		case <-searchDone:
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
-// nextAddress returns the address of the store VM to try next. It prefers a leader that
-// another store VM named, and otherwise alternates between the leader that the control
-// role last reported and the known store VMs. The caller holds c.mu.
-func (c *Client) nextAddress() string {
-	if leaderHint := c.leaderHint; leaderHint != "" {
-		c.leaderHint = ""
-		return leaderHint
+// candidates returns the addresses of the store VMs to try at once: the leader as far as
+// it is known, which a new connection may still reach, and in turn one of the others, of
+// which the members of the ledger's group come first. The caller holds c.mu.
+func (c *Client) candidates() []string {
+	c.searches++
+	others := c.members
+	if len(others) == 0 || c.searches%memberSearches == 0 {
+		others = c.options.Stores()
 	}
-	c.dialAttempts++
-	if leader := c.options.Leader(); leader != "" && c.dialAttempts%2 == 1 {
-		return leader
+	var addresses []string
+	for _, leader := range []string{c.successor, c.lostLeader, c.options.Leader()} {
+		if leader != "" && !slices.Contains(addresses, leader) {
+			addresses = append(addresses, leader)
+		}
 	}
-	if stores := c.options.Stores(); len(stores) > 0 {
-		return stores[c.dialAttempts/2%len(stores)]
+	others = slices.DeleteFunc(slices.Clone(others), func(s string) bool { return slices.Contains(addresses, s) })
+	if len(others) > 0 {
+		addresses = append(addresses, others[(c.searches+c.offset)%len(others)])
 	}
-	return ""
+	return addresses
 }
 
-// dial connects to a store VM and uses the connection if the VM is the leader.
-func (c *Client) dial(address string) {
-	l, err := dialLink(address, c.connectionFailed)
-	if err != nil {
+// search looks for the leader, first at the given addresses and then where the responses
+// point, and uses the first connection to it.
+func (c *Client) search(addresses []string) {
+	c.mu.Lock()
+	lostLeader := c.lostLeader
+	c.mu.Unlock()
+	results := make(chan dialResult, maxDials)
+	tried := make(map[string]bool)
+	pending := 0
+	dial := func(address string) {
+		if address == "" || tried[address] || len(tried) == maxDials {
+			return
+		}
+		tried[address] = true
+		pending++
+		go func() {
+			l, err := dialLink(address, lostLeader, c.connectionFailed)
+			results <- dialResult{address, l, err}
+		}()
+	}
+	for _, address := range addresses {
+		dial(address)
+	}
+	var found *clientLink
+	for pending > 0 && found == nil {
+		r := <-results
+		pending--
+		found = r.link
+		if r.err != nil {
+			dial(c.noteDialError(r.address, r.err))
+		}
+	}
+	// The connections that come later are not needed.
+	go closeLinks(results, pending)
+	if found == nil {
 		time.Sleep(dialRetryDelay)
 	}
+	c.endSearch(found)
+}
+
+// dialResult is the result of one connection attempt.
+type dialResult struct {
+	address string
+	link    *clientLink
+	err     error
+}
+
+// closeLinks closes the connections of the next n results.
+func closeLinks(results <-chan dialResult, n int) {
+	for range n {
+		if r := <-results; r.link != nil {
+			r.link.close(nil)
+		}
+	}
+}
+
+// noteDialError records a failed connection attempt and returns the address of the leader
+// that the store VM named, or "".
+func (c *Client) noteDialError(address string, err error) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.markUnavailable(address, err)
+	var n notLeader
+	if !errors.As(err, &n) {
+		return ""
+	}
+	if len(n.Members) > 0 {
+		c.members = n.Members
+	}
+	return n.Leader
+}
+
+// endSearch wakes the callers that wait for a search, which may have found the leader.
+func (c *Client) endSearch(found *clientLink) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	close(c.dialDone)
-	c.dialDone = nil
-	if err == nil {
-		c.link = l
+	close(c.searchDone)
+	c.searchDone = nil
+	if found == nil {
 		return
 	}
-	var notLeaderErr notLeader
-	if errors.As(err, &notLeaderErr) && notLeaderErr.Leader != address {
-		c.leaderHint = notLeaderErr.Leader
+	c.link, c.lostLeader, c.successor = found, "", ""
+	if len(found.members) > 0 {
+		c.members = found.members
 	}
-	c.markUnavailable(address, err)
 }
 
 // markAvailable records that a store VM admits requests, and logs the end of an outage.
@@ -264,10 +345,10 @@
 	if c.link != l {
 		return
 	}
-	c.link = nil
-	var notLeaderErr notLeader
-	if errors.As(err, &notLeaderErr) && notLeaderErr.Leader != l.address {
-		c.leaderHint = notLeaderErr.Leader
+	c.link, c.lostLeader = nil, l.address
+	var n notLeader
+	if errors.As(err, &n) {
+		c.successor = n.Leader
 	}
 	c.markUnavailable(l.address, err)
 }
@@ -279,7 +360,7 @@
 		return
 	}
 	c.unavailableSince = time.Now()
-	c.options.Log.WithFields(logrus.Fields{"event": "ledger_contact", "lost": true, "asked": address, "hint": c.leaderHint, "error": err}).Warn("store VM does not admit requests")
+	c.options.Log.WithFields(logrus.Fields{"event": "ledger_contact", "lost": true, "asked": address, "error": err}).Warn("store VM does not admit requests")
 }
 
 // Done queues a done report. It never blocks.
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -51,7 +51,9 @@
 
 // clientLink is the entry's side of a connection to the ledger's leader.
 type clientLink struct {
-	address   string
+	address string
+	// members are the store VMs that hold a replica of the ledger.
+	members   []string
 	conn      net.Conn
 	onFailure func(*clientLink, error)
 	closed    chan struct{}
@@ -72,11 +74,9 @@
 }
 
 // dialLink connects to a store VM and returns once the VM has confirmed that it is
-// the leader. It calls onFailure when the connection fails later.
-func dialLink(address string, onFailure func(*clientLink, error)) (*clientLink, error) {
-	if address == "" {
-		return nil, errors.New("no store VM is known")
-	}
+// the leader. lostLeader is the address of a leader that this entry cannot reach, or empty.
+// dialLink calls onFailure when the connection fails later.
+func dialLink(address, lostLeader string, onFailure func(*clientLink, error)) (*clientLink, error) {
 	conn, err := net.DialTimeout("tcp", address, linkDialTimeout)
 	if err != nil {
 		return nil, err
@@ -86,7 +86,7 @@
 		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), confirmations: make(map[string]*confirmation), pendingKeeps: make(map[uint64]chan keepState), lastReceived: time.Now(),
 	}
 	r := bufio.NewReader(conn)
-	if err := l.handshake(r); err != nil {
+	if err := l.handshake(r, lostLeader); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -96,11 +96,11 @@
 }
 
 // handshake asks the store VM whether it is the leader.
-func (l *clientLink) handshake(r *bufio.Reader) error {
+func (l *clientLink) handshake(r *bufio.Reader, lostLeader string) error {
 	if _, err := io.WriteString(l.conn, Preface); err != nil {
 		return err
 	}
-	if err := l.send(kindPing, nil); err != nil {
+	if err := l.send(kindPing, &hello{LostLeader: lostLeader}); err != nil {
 		return err
 	}
 	if err := l.conn.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
@@ -113,6 +113,12 @@
 	if err := l.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
+	if k == kindPong {
+		var greeting welcome
+		err := compact.Unmarshal(payload, &greeting)
+		l.members = greeting.Members
+		return err
+	}
 	return l.handle(k, payload)
 }
 
--- a/server/ledger/histories.go
+++ b/server/ledger/histories.go
@@ -22,8 +22,10 @@
 	// maxCopiesPlanned those of one round.
 	copyBatch        = 48
 	maxCopiesPlanned = 512
-	// retireTimeout bounds the commit of a retirement.
-	retireTimeout = 500 * time.Millisecond
+	// copyRounds bounds the plans that are made and executed one after the other.
+	copyRounds = 8
+	// commitTimeout bounds the commit of a retirement or of copies.
+	commitTimeout = 500 * time.Millisecond
 )
 
 // MethodTurn is the RPC method that tells where the history of a turn lies. The leader
@@ -119,12 +121,17 @@
 		h.copies = copyState{}
 		return
 	}
-	plan := h.planCopies()
-	if plan.Missing != h.copies.missing {
-		h.copies.missing = plan.Missing
-		h.options.Log.WithFields(logrus.Fields{"event": "history_copies", "missing": plan.Missing, "lost": plan.Lost, "planned": len(plan.Copies)}).Info("number of histories with too few copies changed")
+	for range copyRounds {
+		plan := h.planCopies()
+		if plan.Missing != h.copies.missing {
+			h.copies.missing = plan.Missing
+			h.options.Log.WithFields(logrus.Fields{"event": "history_copies", "missing": plan.Missing, "lost": plan.Lost, "planned": len(plan.Copies)}).Info("number of histories with too few copies changed")
+		}
+		if len(plan.Copies) == 0 {
+			return
+		}
+		h.makeCopies(ctx, plan.Copies)
 	}
-	h.makeCopies(ctx, plan.Copies)
 }
 
 // planCopies updates the store VMs that count as present and plans the missing copies.
@@ -201,8 +208,21 @@
 	}
 	copied, err := h.options.Copier.Copy(ctx, r.to.Address, r.from.Address, turns)
 	h.options.Log.WithFields(logrus.Fields{"event": "histories_copied", "from": r.from.Address, "to": r.to.Address, "wanted": len(turns), "copied": len(copied), "error": err}).Info("histories copied between store VMs")
-	for _, t := range copied {
-		h.batcher.add(operation{keep: &history.Keep{Turn: t, Holders: []string{r.to.Storage}, Copied: true}})
+	keepOf := func(t history.Turn) operation {
+		return operation{keep: &history.Keep{Turn: t, Holders: []string{r.to.Storage}, Copied: true}}
+	}
+	if len(copied) == 0 {
+		return
+	}
+	last := len(copied) - 1
+	for _, t := range copied[:last] {
+		h.batcher.add(keepOf(t))
+	}
+	// Operations are committed in order, so the next plan sees all of these copies.
+	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := h.commit(commitCtx, keepOf(copied[last])); err != nil {
+		h.options.Log.WithField("event", "histories_copied").WithError(err).Warn("copies not recorded")
 	}
 }
 
@@ -217,7 +237,7 @@
 		retired, needed := false, false
 		h.options.Machine.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(s.Storage) })
 		if !retired {
-			ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+			ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 			defer cancel()
 			if _, err := h.commit(ctx, operation{retiredStorage: s.Storage}); err != nil {
 				return false, err
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -93,6 +93,8 @@
 	reservations   map[string]*reservation
 	proposedTokens map[ledger.Program]int64
 	copies         copyState
+	// parked holds the connections whose first ping waits for a leader.
+	parked []parkedLink
 }
 
 // admission is an admission request and its outcome.
@@ -156,6 +158,7 @@
 		h.startLeadership(leaderSince)
 	}
 	h.leaseExpiry = start + leaseDuration
+	h.answerParked()
 }
 
 func (h *Host) startLeadership(leaderSince time.Time) {
@@ -322,6 +325,7 @@
 func (h *Host) tick() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.answerParked()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.dispatcher.Tick(bootclock.Now()))
 	}
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/compact"
 )
 
@@ -28,6 +30,43 @@
 	closed chan struct{}
 }
 
+// maxParkTime bounds how long the first ping of a connection waits for a leader. It is
+// shorter than the silence timeout of entries.
+const maxParkTime = 250 * time.Millisecond
+
+// parkedLink is a connection whose first ping waits until a leader is known.
+type parkedLink struct {
+	*link
+	// lostLeader is the address of a leader that the entry cannot reach.
+	lostLeader string
+	// until is the end of the wait on the boot clock.
+	until time.Duration
+}
+
+// answerParked responds to the first pings of connections for which a leader is known or
+// whose wait has ended. The caller holds h.mu.
+func (h *Host) answerParked() {
+	now := bootclock.Now()
+	_, leader, self := h.options.Quorum.Leader()
+	h.parked = slices.DeleteFunc(h.parked, func(p parkedLink) bool {
+		switch {
+		case h.canAdmit():
+			p.send(kindPong, &welcome{Members: h.options.Quorum.Addresses()})
+		case now < p.until && (self || leader == "" || leader == p.lostLeader):
+			return false
+		default:
+			p.sendNotLeader()
+		}
+		return true
+	})
+}
+
+// sendNotLeader names the leader, as far as this VM knows it.
+func (l *link) sendNotLeader() {
+	_, leader, _ := l.host.options.Quorum.Leader()
+	l.send(kindNotLeader, &notLeader{Leader: leader, Members: l.host.options.Quorum.Addresses()})
+}
+
 // serveLink handles the messages of an entry until the connection closes.
 func (h *Host) serveLink(netConn net.Conn, r *bufio.Reader) {
 	l := &link{host: h, conn: netConn, queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
@@ -100,9 +139,17 @@
 	h := l.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if k == kindPing && len(payload) > 0 {
+		var greeting hello
+		if err := compact.Unmarshal(payload, &greeting); err != nil {
+			return err
+		}
+		h.parked = append(h.parked, parkedLink{l, greeting.LostLeader, bootclock.Now() + maxParkTime})
+		h.answerParked()
+		return nil
+	}
 	if !h.canAdmit() {
-		_, address, _ := h.options.Quorum.Leader()
-		l.send(kindNotLeader, &notLeader{Leader: address})
+		l.sendNotLeader()
 		return nil
 	}
 	switch k {
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -40,7 +40,7 @@
 	// kindDone reports how a request ended.
 	kindDone
 	// kindPing asks whether the store VM is the leader and admits requests; kindPong
-	// confirms that it does.
+	// confirms that it does. The first ping of a connection carries a hello.
 	kindPing
 	kindPong
 	// kindNotLeader names the leader; the entry then closes the connection.
@@ -149,10 +149,26 @@
 	Settle *ledger.Settle
 }
 
+// hello is the payload of the first ping of a connection.
+type hello struct {
+	// LostLeader is the address of a leader that the entry cannot reach. A store VM that
+	// knows no other leader delays its response until it does.
+	LostLeader string
+}
+
+// welcome is the payload of the response to the first ping of a connection.
+type welcome struct {
+	// Members are the addresses of the store VMs that hold a replica of the ledger, one of
+	// which is the next leader.
+	Members []string
+}
+
 // notLeader is the response to any message while the store VM does not admit requests.
-// Leader is the address of the leader; empty if unknown.
 type notLeader struct {
+	// Leader is the address of the leader; empty if unknown.
 	Leader string
+	// Members are as in welcome.
+	Members []string
 }
 
 // maxMessageBytes bounds the size of one message.
