registry: three control VMs announce a change to each VM, the others wait

Cause: each change of the catalog ended the watches of all VMs at all nine control VMs. The nearest three by hash are asked to tell of changes at once, the others tell when their watches time out. Test: TestEagerWatches.

--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/catalog"
@@ -29,6 +31,10 @@
 	// discoverInterval is the time between two updates of the set of watched control
 	// VMs.
 	discoverInterval = 250 * time.Millisecond
+	// eagerWatches is the number of control VMs that tell this VM about a change at once.
+	// The others tell it when their watches time out, which covers the loss of the first
+	// ones without as many messages for each change.
+	eagerWatches = 3
 	// contactTimeout is the time without a response from any control VM after which
 	// contact with the control role counts as lost.
 	contactTimeout = 2 * time.Second
@@ -138,9 +144,11 @@
 	// controlAddresses holds, for each control VM, the addresses of control VMs that
 	// it named.
 	controlAddresses map[string][]string
-	storeLeader      string
-	stores           []string
-	historyStores    []history.Store
+	// reachable holds the control VMs whose last watch succeeded.
+	reachable     map[string]bool
+	storeLeader   string
+	stores        []string
+	historyStores []history.Store
 
 	// fetchMu is held during a transfer.
 	fetchMu sync.Mutex
@@ -148,7 +156,7 @@
 
 // NewFollower returns a follower with an empty view. Run keeps it up to date.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{options: options, watches: make(map[string]context.CancelFunc), controlAddresses: make(map[string][]string)}
+	f := &Follower{options: options, watches: make(map[string]context.CancelFunc), controlAddresses: make(map[string][]string), reachable: make(map[string]bool)}
 	f.view.Store(&View{})
 	return f
 }
@@ -240,8 +248,10 @@
 func (f *Follower) watch(ctx context.Context, address string) {
 	reachable := true
 	state := &watchState{}
+	defer f.setReachable(address, false)
 	for ctx.Err() == nil {
 		err := f.watchOnce(ctx, address, state)
+		f.setReachable(address, err == nil)
 		if (err == nil) != reachable && ctx.Err() == nil {
 			reachable = err == nil
 			f.options.Log.WithFields(logrus.Fields{"event": "control_vm", "address": address, "reachable": reachable, "error": err}).Info("connection to a control VM changed")
@@ -255,6 +265,32 @@
 	}
 }
 
+// setReachable records whether the last watch at a control VM succeeded.
+func (f *Follower) setReachable(address string, reachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reachable {
+		f.reachable[address] = true
+	} else {
+		delete(f.reachable, address)
+	}
+}
+
+// isEager reports whether a control VM should tell this VM about a change at once. The
+// choice differs between VMs, so that the load is spread.
+func (f *Follower) isEager(node, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank := 0
+	own := xxhash.Sum64String(node + address)
+	for other := range f.reachable {
+		if other != address && xxhash.Sum64String(node+other) < own {
+			rank++
+		}
+	}
+	return rank < eagerWatches
+}
+
 // watchState is the state that this VM and one control VM have exchanged.
 type watchState struct {
 	// reported is the report that the control VM holds.
@@ -272,6 +308,9 @@
 	if self != state.reported {
 		request.VM = &self
 	}
+	if !f.isEager(self.Node, address) {
+		request.Known = math.MaxUint64
+	}
 	var response WatchResponse
 	if err := f.options.Pool.Call(callCtx, address, MethodWatch, request, &response); err != nil {
 		if callCtx.Err() != nil {
--- /dev/null
+++ b/server/registry/follower_test.go
@@ -0,0 +1,43 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestEagerWatches guards against changes that every control VM announces to every VM, and
+// against a VM that learns of changes late because the control VMs that announce them to
+// it are unreachable.
+func TestEagerWatches(t *testing.T) {
+	const controlVMs, vms = 9, 300
+	load := make(map[string]int)
+	for n := range vms {
+		f := NewFollower(FollowerOptions{})
+		node := fmt.Sprint("entry-", n)
+		eager := func() []string {
+			var list []string
+			for i := range controlVMs {
+				if address := fmt.Sprint("control-", i); f.reachable[address] && f.isEager(node, address) {
+					list = append(list, address)
+				}
+			}
+			return list
+		}
+		for i := range controlVMs {
+			f.setReachable(fmt.Sprint("control-", i), true)
+		}
+		first := eager()
+		assert.Len(t, first, eagerWatches)
+		for _, address := range first {
+			load[address]++
+			f.setReachable(address, false)
+		}
+		assert.Len(t, eager(), eagerWatches, "others take the place of unreachable ones")
+		assert.True(t, f.isEager(node, first[0]), "one that becomes reachable again")
+	}
+	for address, n := range load {
+		assert.InDelta(t, vms*eagerWatches/controlVMs, n, 40, address)
+	}
+}
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -72,7 +72,8 @@
 	// Node and Started identify the report.
 	Node    string `json:"n"`
 	Started int64  `json:"s"`
-	// Known is the revision of the catalog that the sender holds.
+	// Known is the revision of the catalog that the sender holds, or the highest number if
+	// the sender waits for the timeout only.
 	Known uint64 `json:"k"`
 	// WaitMS bounds the wait in milliseconds.
 	WaitMS int64 `json:"w,omitempty"`
