dispatch: admit programs by a forecast of what started ones still need

Pattern: an organisation near its rate starts more programs than its rate covers to their end; tool calls in the middle of a program were refused. A fixed share of the bucket was kept for started programs, whatever they still needed. A new program now starts only if tokens and rate over five horizons cover the expected requests of the started programs and its own; kinds are learned from programs that ended. Requests of started programs wait up to 1 s for a token (0.4 s before).

--- a/coord/dispatch/bucket.go
+++ b/coord/dispatch/bucket.go
@@ -52,18 +52,13 @@
 }
 
 const (
-	// programReserveShare is the share of its unused level that a bucket must hold for
-	// the first request of a program to get a token. It is reserved for programs that
-	// have already started: a program counts only if all of its requests run, so an
-	// organisation above its rate is served best if some of its programs finish rather
-	// than all of them losing a request.
-	programReserveShare = 0.4
 	// maxRateWait bounds how long a request of a started program waits for a token.
-	// Refusing the request would waste the work that the program has already done.
-	maxRateWait = 400 * time.Millisecond
+	// Refusing the request would waste the work that the program has already done. The
+	// tokens are paid for by the programs that the organisation starts later.
+	maxRateWait = time.Second
 	// rateWaitShare is the share of the caller's remaining time that this wait may
 	// take.
-	rateWaitShare = 0.3
+	rateWaitShare = 0.5
 )
 
 // take charges one request and returns how long the request has to wait for its
@@ -74,15 +69,11 @@
 		return 0, true
 	}
 	b.refill(now)
-	needed := 1.0
-	if r.StartsProgram {
-		needed = max(1, programReserveShare*b.unusedLevel(now))
-	}
-	if b.tokens >= needed {
+	if b.tokens >= 1 {
 		b.tokens--
 		return 0, true
 	}
-	wait = time.Duration((needed - b.tokens) / b.limits.RatePerSecond * float64(time.Second))
+	wait = time.Duration((1 - b.tokens) / b.limits.RatePerSecond * float64(time.Second))
 	maxWait := min(maxRateWait, time.Duration(rateWaitShare*float64(r.TimeLeft)))
 	if r.ContinuesProgram && wait <= maxWait {
 		b.tokens--
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	grants           map[string]*grant
 	queues           map[string]*queue // by service
 	// programs holds the programs that have started.
-	programs programs
+	programs *programs
 	medians  map[string]*cachedMedian
 	// quarantine refuses requests that crash targets.
 	quarantine quarantine
@@ -78,7 +78,7 @@
 		buckets:          make(map[string]*bucket),
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
-		programs:         make(programs),
+		programs:         newPrograms(),
 		medians:          make(map[string]*cachedMedian),
 		quarantine:       newQuarantine(),
 	}
@@ -185,6 +185,12 @@
 		d.buckets[r.Organisation] = b
 	}
 	b.updateLimits(now, r.Limits)
+	if b.limits.RatePerSecond > 0 && r.StartsProgram {
+		b.refill(now)
+		if wait := d.programs.forecast(now, r.Organisation, d.programs.kindOf(r), b); wait > 0 {
+			return wait, false
+		}
+	}
 	return b.take(now, r)
 }
 
--- a/coord/dispatch/program.go
+++ b/coord/dispatch/program.go
@@ -24,32 +24,59 @@
 	// waited is the total time during which at least one of the program's requests
 	// was waiting, counted up to waitedUntil.
 	waited, waitedUntil time.Duration
-	// lastRequest is when the program sent its latest request.
+	// kind holds the averages of programs of the same kind; nil if the dispatcher has not
+	// seen the program's first request. startedAt is the time of that request.
+	kind      *kindStats
+	startedAt time.Duration
+	// requests is the number of requests that the program has sent, and lastRequest the
+	// time of the latest one.
+	requests    int
 	lastRequest time.Duration
 }
 
 // programKey identifies a program. Two organisations may use the same program id.
 type programKey struct{ organisation, id string }
 
-// programs holds the started programs.
-type programs map[programKey]*program
+// programs holds the started programs and what is known about their kinds.
+type programs struct {
+	byKey          map[programKey]*program
+	byOrganisation map[string]map[*program]struct{}
+	kinds          map[programKind]*kindStats
+}
+
+func newPrograms() *programs {
+	return &programs{byKey: make(map[programKey]*program), byOrganisation: make(map[string]map[*program]struct{}), kinds: make(map[programKind]*kindStats)}
+}
+
+// kindOf returns the averages of the kind of the program that a request starts.
+func (ps *programs) kindOf(r *Request) *kindStats {
+	key := programKind{r.Service, r.RoutePriority}
+	k := ps.kinds[key]
+	if k == nil {
+		k = newKindStats(key)
+		ps.kinds[key] = k
+	}
+	return k
+}
 
 // record notes a request and returns its program, or nil if it has none.
-func (ps programs) record(now time.Duration, r *Request) *program {
+func (ps *programs) record(now time.Duration, r *Request) *program {
 	if r.Program == "" || r.ProgramTimeLeft == 0 {
 		return nil
 	}
 	key := programKey{r.Organisation, r.Program}
-	p := ps[key]
+	p := ps.byKey[key]
 	if p == nil {
 		left := max(r.ProgramTimeLeft, 0)
 		p = &program{deadline: now + left, total: left, priority: r.RoutePriority}
 		if r.StartsProgram {
 			p.overdueAt = p.deadline + p.total
+			p.kind, p.startedAt = ps.kindOf(r), now
 		}
-		ps[key] = p
+		ps.add(key, p)
 	}
 	p.priority = min(p.priority, r.RoutePriority)
+	p.requests++
 	p.lastRequest = now
 	return p
 }
@@ -64,11 +91,27 @@
 	p.waitedUntil = now
 }
 
+func (ps *programs) add(key programKey, p *program) {
+	ps.byKey[key] = p
+	if ps.byOrganisation[key.organisation] == nil {
+		ps.byOrganisation[key.organisation] = make(map[*program]struct{})
+	}
+	ps.byOrganisation[key.organisation][p] = struct{}{}
+}
+
 // sweep removes programs that have sent no request for programRetention.
-func (ps programs) sweep(now time.Duration) {
-	for key, p := range ps {
-		if now > p.lastRequest+programRetention {
-			delete(ps, key)
+func (ps *programs) sweep(now time.Duration) {
+	for key, p := range ps.byKey {
+		if now <= p.lastRequest+programRetention {
+			continue
+		}
+		delete(ps.byKey, key)
+		delete(ps.byOrganisation[key.organisation], p)
+		if len(ps.byOrganisation[key.organisation]) == 0 {
+			delete(ps.byOrganisation, key.organisation)
+		}
+		if p.kind != nil {
+			p.kind.add(p.requests, p.lastRequest-p.startedAt)
 		}
 	}
 }
@@ -93,7 +136,7 @@
 
 // DeadlineStatus returns the deadline status of a request's program as text, for logs.
 func (d *Dispatcher) DeadlineStatus(now time.Duration, r *Request) string {
-	return d.programs[programKey{r.Organisation, r.Program}].status(now, r).String()
+	return d.programs.byKey[programKey{r.Organisation, r.Program}].status(now, r).String()
 }
 
 // status returns the deadline status of a request's program at a given time; p may
