dispatch: forecast by the program's budget, learn faster, wait longer

Pattern: in the first seconds of a dispatcher the averages of kinds are wrong, and one long program with many calls at once exceeds a small organisation's rate. The token budget divided by the most of one turn now scales the forecast; a program is learned 1.5 s after its last request instead of 5 s, with a weight that starts at a half; requests of started programs wait up to 2 s or 0.8 of the caller's time.

Seen: 35 of 40 programs with refused calls have a budget of over 20 turns; their organisations' rates are below their own pace.

--- a/coord/dispatch/bucket.go
+++ b/coord/dispatch/bucket.go
@@ -55,10 +55,10 @@
 	// maxRateWait bounds how long a request of a started program waits for a token.
 	// Refusing the request would waste the work that the program has already done. The
 	// tokens are paid for by the programs that the organisation starts later.
-	maxRateWait = time.Second
+	maxRateWait = 2 * time.Second
 	// rateWaitShare is the share of the caller's remaining time that this wait may
 	// take.
-	rateWaitShare = 0.5
+	rateWaitShare = 0.8
 )
 
 // take charges one request and returns how long the request has to wait for its
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -187,7 +187,7 @@
 	b.updateLimits(now, r.Limits)
 	if b.limits.RatePerSecond > 0 && r.StartsProgram {
 		b.refill(now)
-		if wait := d.programs.forecast(now, r.Organisation, d.programs.kindOf(r), b); wait > 0 {
+		if wait := d.programs.forecast(now, r, b); wait > 0 {
 			return wait, false
 		}
 	}
--- a/coord/dispatch/forecast.go
+++ b/coord/dispatch/forecast.go
@@ -3,12 +3,14 @@
 import "time"
 
 const (
-	// initialRequests and initialDuration describe the programs of a kind of which none
-	// has ended yet.
-	initialRequests = 8
-	initialDuration = 2 * time.Second
-	// kindWeight is the weight of the latest program in the averages of its kind.
-	kindWeight = 0.05
+	// defaultTurns is the number of turns that is assumed for a program without a budget.
+	defaultTurns = 3
+	// initialRequests and initialDuration describe one turn, with the calls that follow it,
+	// of a kind of program of which none has ended yet.
+	initialRequests = 3
+	initialDuration = 500 * time.Millisecond
+	// minKindWeight is the least weight of the latest program in the averages of its kind.
+	minKindWeight = 0.05
 	// activeIdleTime is the time without a request after which a program counts as ended.
 	// Until then, the requests that it is expected to send decrease evenly.
 	activeIdleTime = 1500 * time.Millisecond
@@ -33,20 +35,24 @@
 // kindStats holds the averages of the programs of one kind.
 type kindStats struct {
 	programKind
-	// requests is the number of requests of a program, and duration the time between its
-	// first and its last request.
+	// requests is the number of requests for each turn that the budget of a program allows,
+	// and duration the time for each.
 	requests float64
 	duration time.Duration
+	// ended is the number of programs in the averages.
+	ended int
 }
 
 func newKindStats(kind programKind) *kindStats {
-	return &kindStats{kind, initialRequests, initialDuration}
+	return &kindStats{programKind: kind, requests: initialRequests, duration: initialDuration}
 }
 
 // add records a program that has ended.
-func (k *kindStats) add(requests int, duration time.Duration) {
-	k.requests += kindWeight * (float64(requests) - k.requests)
-	k.duration += time.Duration(kindWeight * float64(duration-k.duration))
+func (k *kindStats) add(turns, requests float64, duration time.Duration) {
+	k.ended++
+	weight := max(minKindWeight, 1/float64(k.ended+1))
+	k.requests += weight * (requests/turns - k.requests)
+	k.duration += time.Duration(weight * (float64(duration)/turns - float64(k.duration)))
 }
 
 // requestsWithin returns the requests that a program sends within a time, if it still
@@ -56,21 +62,39 @@
 	return min(remaining, rate*horizon.Seconds())
 }
 
+// turnsOf returns the number of turns that the budget of a program allows.
+func turnsOf(r *Request) float64 {
+	if r.BudgetTurns <= 0 {
+		return defaultTurns
+	}
+	return max(r.BudgetTurns, 1)
+}
+
 // remaining returns the number of requests that the program is expected to send.
 func (p *program) remaining(now time.Duration) float64 {
 	idle := now - p.lastRequest
 	if p.kind == nil || idle >= activeIdleTime {
 		return 0
 	}
-	left := max(p.kind.requests-float64(p.requests), 1)
+	left := max(p.kind.requests*p.turns-float64(p.requests), 1)
 	return left * (1 - float64(idle)/float64(activeIdleTime))
 }
 
-// forecast returns how long a new program of a kind should wait until the organisation's
+// learn adds the program to the averages of its kind once it counts as ended.
+func (p *program) learn(now time.Duration) {
+	if p.kind == nil || p.learned || now-p.lastRequest < activeIdleTime {
+		return
+	}
+	p.learned = true
+	p.kind.add(p.turns, float64(p.requests), p.lastRequest-p.startedAt)
+}
+
+// forecast returns how long a program's first request should wait until the organisation's
 // rate limit covers the requests of its started programs and its own; 0 if it may start. A
 // program counts only if all of its requests run, so an organisation above its rate is
 // served best if some of its programs finish rather than all of them losing a request.
-func (ps *programs) forecast(now time.Duration, organisation string, kind *kindStats, b *bucket) time.Duration {
+func (ps *programs) forecast(now time.Duration, r *Request, b *bucket) time.Duration {
+	kind := ps.kindOf(r)
 	rate := b.limits.RatePerSecond
 	usable := rate
 	if ps.isMostUrgent(kind) {
@@ -78,8 +102,8 @@
 	}
 	wait := 0.0
 	for _, horizon := range forecastHorizons {
-		demand := kind.requestsWithin(horizon, kind.requests)
-		for p := range ps.byOrganisation[organisation] {
+		demand := kind.requestsWithin(horizon, kind.requests*turnsOf(r))
+		for p := range ps.byOrganisation[r.Organisation] {
 			if left := p.remaining(now); left > 0 {
 				demand += p.kind.requestsWithin(horizon, left)
 			}
--- a/coord/dispatch/program.go
+++ b/coord/dispatch/program.go
@@ -28,6 +28,10 @@
 	// seen the program's first request. startedAt is the time of that request.
 	kind      *kindStats
 	startedAt time.Duration
+	// turns is the number of turns that the program's budget allows. learned is set once
+	// the program is part of the averages of its kind.
+	turns   float64
+	learned bool
 	// requests is the number of requests that the program has sent, and lastRequest the
 	// time of the latest one.
 	requests    int
@@ -71,7 +75,7 @@
 		p = &program{deadline: now + left, total: left, priority: r.RoutePriority}
 		if r.StartsProgram {
 			p.overdueAt = p.deadline + p.total
-			p.kind, p.startedAt = ps.kindOf(r), now
+			p.kind, p.startedAt, p.turns = ps.kindOf(r), now, turnsOf(r)
 		}
 		ps.add(key, p)
 	}
@@ -99,9 +103,11 @@
 	ps.byOrganisation[key.organisation][p] = struct{}{}
 }
 
-// sweep removes programs that have sent no request for programRetention.
+// sweep learns from programs that have ended, and removes those that have sent no request
+// for programRetention.
 func (ps *programs) sweep(now time.Duration) {
 	for key, p := range ps.byKey {
+		p.learn(now)
 		if now <= p.lastRequest+programRetention {
 			continue
 		}
@@ -110,9 +116,6 @@
 		if len(ps.byOrganisation[key.organisation]) == 0 {
 			delete(ps.byOrganisation, key.organisation)
 		}
-		if p.kind != nil {
-			p.kind.add(p.requests, p.lastRequest-p.startedAt)
-		}
 	}
 }
 
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -87,6 +87,9 @@
 	// OutputTokens is the maximum number of tokens that an engine generates for the
 	// request.
 	OutputTokens int64 `json:"ot,omitempty"`
+	// BudgetTurns is the number of turns that the token budget of the program allows; 0 if
+	// unknown. It is set for the first request of a program.
+	BudgetTurns float64 `json:"bt,omitempty"`
 	// Parts holds the sections of the prompt, in order.
 	Parts []Part `json:"q,omitempty"`
 	// Exclude lists the ids of targets that have already failed to run this request.
