--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -40,6 +40,11 @@
 	// control VM; a short timeout in a small deployment detects a hung entry early.
 	minWatchTimeout   = 300 * time.Millisecond
 	watchTimeoutPerVM = 9 * time.Millisecond
+	// changeDelayPerVM and maxChangeDelay determine how long a control VM collects further
+	// changes before it tells the VMs that watch it. In a large deployment many targets
+	// change at almost the same time, and each message costs traffic between data centres.
+	changeDelayPerVM = 300 * time.Microsecond
+	maxChangeDelay   = 200 * time.Millisecond
 	// membersValidity is how long a computed list of members is reused.
 	membersValidity = 50 * time.Millisecond
 	// missedWatches and reportMargin determine the time without a report after which
@@ -266,6 +271,7 @@
 	if revision <= r.Known {
 		select {
 		case <-changed:
+			sleep(ctx, g.changeDelay())
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -309,6 +315,19 @@
 	return min(max(time.Duration(vms)*watchTimeoutPerVM, minWatchTimeout), MaxWatchTimeout)
 }
 
+// changeDelay returns how long further changes are collected.
+func (g *Registry) changeDelay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return changeDelayFor(len(g.reports))
+}
+
+// changeDelayFor returns the time for which changes are collected in a deployment with the
+// given number of VMs.
+func changeDelayFor(vms int) time.Duration {
+	return min(time.Duration(vms)*changeDelayPerVM, maxChangeDelay)
+}
+
 // refreshReport renews the report of a VM. It returns false if the report is unknown.
 func (g *Registry) refreshReport(node string, started int64) bool {
 	g.mu.Lock()
