--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hemlockvale.dev/server/sockopt"
 )
 
 const (
@@ -121,7 +123,7 @@
 		}
 		c.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
@@ -131,15 +133,6 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
 // takeIdle removes and returns the most recently used idle connection to the
 // target, or nil.
 func (p *connPool) takeIdle(target string) *conn {
--- a/server/history/client.go
+++ b/server/history/client.go
@@ -9,13 +9,11 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/server/compact"
+	"hemlockvale.dev/server/sockopt"
 )
 
 const (
@@ -43,21 +41,12 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
 	return &Client{&http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerStore, IdleConnTimeout: idleTimeout,
 	}}}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
 // call sends a request to a store VM and decodes the response.
 func (c *Client) call(ctx context.Context, address, path string, request, response any) error {
 	data, err := compact.Marshal(request)
--- a/server/history/disk.go
+++ b/server/history/disk.go
@@ -7,9 +7,6 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +15,7 @@
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/periodic"
+	"hemlockvale.dev/server/wal"
 )
 
 const (
@@ -112,7 +110,7 @@
 		return nil, fmt.Errorf("record store: %w", err)
 	}
 	d := &Disk{dir: dir, log: log, queue: make(chan write, writeQueueSize), index: make(map[history.Turn]location)}
-	numbers, err := listSegments(dir)
+	numbers, err := wal.NumberedFiles(dir, segmentPrefix, segmentSuffix)
 	if err != nil {
 		return nil, fmt.Errorf("record store: %w", err)
 	}
@@ -130,91 +128,6 @@
 	return filepath.Join(d.dir, fmt.Sprintf("%s%016d%s", segmentPrefix, number, segmentSuffix))
 }
 
-// listSegments returns the numbers of the segments in ascending order.
-func listSegments(dir string) ([]uint64, error) {
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, err
-	}
-	var numbers []uint64
-	for _, f := range files {
-		digits, hasPrefix := strings.CutPrefix(f.Name(), segmentPrefix)
-		digits, hasSuffix := strings.CutSuffix(digits, segmentSuffix)
-		if !hasPrefix || !hasSuffix {
-			continue
-		}
-		number, err := strconv.ParseUint(digits, 10, 64)
-		if err != nil {
-			return nil, fmt.Errorf("invalid segment file name %s: %w", f.Name(), err)
-		}
-		numbers = append(numbers, number)
-	}
-	slices.Sort(numbers)
-	return numbers, nil
-}
-
-// load adds the records of a segment that an earlier process wrote. The segment ends at
-// the first frame that is not intact: everything before it was synced first.
-func (d *Disk) load(path string) error {
-	f, err := os.OpenFile(path, os.O_RDWR, 0o600)
-	if err != nil {
-		return err
-	}
-	info, err := f.Stat()
-	if err != nil {
-		return errors.Join(err, f.Close())
-	}
-	s := &segment{file: f, size: info.Size(), createdAt: bootclock.Now(), sealed: true}
-	valid, err := d.scan(s, info.Size())
-	if err != nil {
-		return errors.Join(err, f.Close())
-	}
-	if valid < info.Size() {
-		d.log.WithFields(logrus.Fields{"event": "records_torn", "file": filepath.Base(path), "bytes": info.Size() - valid}).Warn("segment ends with an incomplete record")
-	}
-	if len(s.turns) == 0 {
-		return errors.Join(f.Close(), os.Remove(path))
-	}
-	// The last frames may be in the page cache only, because the process ended before
-	// their sync.
-	if err := f.Sync(); err != nil {
-		return errors.Join(err, f.Close())
-	}
-	d.segments = append(d.segments, s)
-	d.bytes += s.size
-	return nil
-}
-
-// scan indexes the intact frames of a segment and returns their total length.
-func (d *Disk) scan(s *segment, size int64) (int64, error) {
-	var offset int64
-	header := make([]byte, frameHeaderBytes)
-	for offset+frameHeaderBytes <= size {
-		if _, err := s.file.ReadAt(header, offset); err != nil {
-			return offset, err
-		}
-		h, err := decodeHeader(header)
-		end := offset + frameHeaderBytes + int64(h.infoBytes) + int64(h.contentBytes)
-		if err != nil || end > size {
-			return offset, nil
-		}
-		encoded := make([]byte, h.infoBytes)
-		if _, err := s.file.ReadAt(encoded, offset+frameHeaderBytes); err != nil {
-			return offset, err
-		}
-		info, err := h.decodeInfo(encoded)
-		if err != nil {
-			return offset, nil
-		}
-		age := time.Since(time.Unix(info.WrittenUnixSeconds, 0))
-		if age < staleFactor*(info.Retention+expiryMargin) {
-			d.addLocked(s, info.Turn, location{s, offset + frameHeaderBytes + int64(h.infoBytes), h.contentBytes, h.contentCRC}, info.Retention+expiryMargin)
-		}
-		offset = end
-	}
-	return offset, nil
-}
-
 // addLocked indexes a record. The caller holds d.mu, or is the only user of d.
 func (d *Disk) addLocked(s *segment, t history.Turn, l location, keepFor time.Duration) {
 	d.index[t] = l
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,13 +22,6 @@
 	// unavailableWait bounds the wait of a request for a leader once no store VM has
 	// admitted requests for longer than electionWait.
 	unavailableWait = 150 * time.Millisecond
-	// dialRetryDelay is the delay after a search that did not find the leader.
-	dialRetryDelay = 30 * time.Millisecond
-	// maxDials bounds the connection attempts of one search.
-	maxDials = 6
-	// memberSearches is the number of searches after which one also asks store VMs that
-	// are not known as members of the ledger's group.
-	memberSearches = 4
 	// reportQueueSize bounds the number of queued done reports.
 	reportQueueSize = 8192
 	// maxReportAge is the time during which sending a done report is retried.
@@ -124,42 +116,42 @@
 // ErrUnavailable if ctx ends first, and ErrExhausted if the budget does not cover the
 // turn.
 func (c *Client) Confirm(ctx context.Context, r ledger.Reserve) error {
-	for {
-		l := c.connect(ctx)
-		if l == nil {
-			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
-		}
+	return c.untilCommitted(ctx, func(l *clientLink) (bool, error) {
 		state, err := l.confirm(ctx, r)
-		switch {
-		case err == nil && state == stateDurable:
-			return nil
-		case err == nil && state == stateExhausted:
-			return ErrExhausted
-		case ctx.Err() != nil:
-			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
-		case err != nil:
-			c.connectionFailed(l, err)
-		default:
-			pause(ctx, unconfirmedDelay)
+		if err == nil && state == stateExhausted {
+			err = ErrExhausted
 		}
-	}
+		return state == stateDurable, err
+	})
 }
 
 // Keep returns nil once the directory on a quorum of disks has the holders of a turn. It
 // returns ErrUnavailable if ctx ends first, and ErrHolderRetired if other holders must be
 // used.
 func (c *Client) Keep(ctx context.Context, k history.Keep) error {
+	return c.untilCommitted(ctx, func(l *clientLink) (bool, error) {
+		state, err := l.keep(ctx, k)
+		if err == nil && state == keepRefused {
+			err = ErrHolderRetired
+		}
+		return state == keepDurable, err
+	})
+}
+
+// untilCommitted requests a change from the leader until it is committed or refused. It
+// returns ErrUnavailable if ctx ends first.
+func (c *Client) untilCommitted(ctx context.Context, request func(*clientLink) (committed bool, err error)) error {
 	for {
 		l := c.connect(ctx)
 		if l == nil {
 			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
-		state, err := l.keep(ctx, k)
+		committed, err := request(l)
 		switch {
-		case err == nil && state == keepDurable:
+		case err == nil && committed:
 			return nil
-		case err == nil && state == keepRefused:
-			return ErrHolderRetired
+		case errors.Is(err, ErrExhausted), errors.Is(err, ErrHolderRetired):
+			return err
 		case ctx.Err() != nil:
 			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		case err != nil:
@@ -192,140 +184,6 @@
 	return min(timeLeft, electionWait)
 }
 
-// connect returns the connection to the leader, or nil if ctx ends first. Concurrent
-// callers wait for the same search.
-func (c *Client) connect(ctx context.Context) *clientLink {
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		if c.link != nil {
-			l := c.link
-			c.mu.Unlock()
-			return l
-		}
-		searchDone := c.searchDone
-		if searchDone == nil {
-			c.searchDone = make(chan struct{})
-			go c.search(c.candidates())
-			searchDone = c.searchDone
-		}
-		c.mu.Unlock()
-		select {
-		case <-searchDone:
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
-// candidates returns the addresses of the store VMs to try at once: the leader as far as
-// it is known, which a new connection may still reach, and in turn one of the others, of
-// which the members of the ledger's group come first. The caller holds c.mu.
-func (c *Client) candidates() []string {
-	c.searches++
-	others := c.members
-	if len(others) == 0 || c.searches%memberSearches == 0 {
-		others = c.options.Stores()
-	}
-	var addresses []string
-	for _, leader := range []string{c.successor, c.lostLeader, c.options.Leader()} {
-		if leader != "" && !slices.Contains(addresses, leader) {
-			addresses = append(addresses, leader)
-		}
-	}
-	others = slices.DeleteFunc(slices.Clone(others), func(s string) bool { return slices.Contains(addresses, s) })
-	if len(others) > 0 {
-		addresses = append(addresses, others[(c.searches+c.offset)%len(others)])
-	}
-	return addresses
-}
-
-// search looks for the leader, first at the given addresses and then where the responses
-// point, and uses the first connection to it.
-func (c *Client) search(addresses []string) {
-	c.mu.Lock()
-	lostLeader := c.lostLeader
-	c.mu.Unlock()
-	results := make(chan dialResult, maxDials)
-	tried := make(map[string]bool)
-	pending := 0
-	dial := func(address string) {
-		if address == "" || tried[address] || len(tried) == maxDials {
-			return
-		}
-		tried[address] = true
-		pending++
-		go func() {
-			l, err := dialLink(address, lostLeader, c.connectionFailed)
-			results <- dialResult{address, l, err}
-		}()
-	}
-	for _, address := range addresses {
-		dial(address)
-	}
-	var found *clientLink
-	for pending > 0 && found == nil {
-		r := <-results
-		pending--
-		found = r.link
-		if r.err != nil {
-			dial(c.noteDialError(r.address, r.err))
-		}
-	}
-	// The connections that come later are not needed.
-	go closeLinks(results, pending)
-	if found == nil {
-		time.Sleep(dialRetryDelay)
-	}
-	c.endSearch(found)
-}
-
-// dialResult is the result of one connection attempt.
-type dialResult struct {
-	address string
-	link    *clientLink
-	err     error
-}
-
-// closeLinks closes the connections of the next n results.
-func closeLinks(results <-chan dialResult, n int) {
-	for range n {
-		if r := <-results; r.link != nil {
-			r.link.close(nil)
-		}
-	}
-}
-
-// noteDialError records a failed connection attempt and returns the address of the leader
-// that the store VM named, or "".
-func (c *Client) noteDialError(address string, err error) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.markUnavailable(address, err)
-	var n notLeader
-	if !errors.As(err, &n) {
-		return ""
-	}
-	if len(n.Members) > 0 {
-		c.members = n.Members
-	}
-	return n.Leader
-}
-
-// endSearch wakes the callers that wait for a search, which may have found the leader.
-func (c *Client) endSearch(found *clientLink) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	close(c.searchDone)
-	c.searchDone = nil
-	if found == nil {
-		return
-	}
-	c.link, c.lostLeader, c.successor = found, "", ""
-	if len(found.members) > 0 {
-		c.members = found.members
-	}
-}
-
 // markAvailable records that a store VM admits requests, and logs the end of an outage.
 func (c *Client) markAvailable(l *clientLink) {
 	c.mu.Lock()
--- a/server/wal/files.go
+++ b/server/wal/files.go
@@ -7,7 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -40,14 +40,20 @@
 
 // listSegments returns the numbers of the segments in ascending order.
 func listSegments(dir string) ([]uint64, error) {
+	return NumberedFiles(dir, segmentPrefix, segmentSuffix)
+}
+
+// NumberedFiles returns the numbers in the names of the files that have the prefix and the
+// suffix, in ascending order.
+func NumberedFiles(dir, prefix, suffix string) ([]uint64, error) {
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, err
 	}
 	var numbers []uint64
 	for _, f := range files {
-		digits, hasPrefix := strings.CutPrefix(f.Name(), segmentPrefix)
-		digits, hasSuffix := strings.CutSuffix(digits, segmentSuffix)
+		digits, hasPrefix := strings.CutPrefix(f.Name(), prefix)
+		digits, hasSuffix := strings.CutSuffix(digits, suffix)
 		if !hasPrefix || !hasSuffix {
 			continue
 		}
@@ -57,7 +63,7 @@
 		}
 		numbers = append(numbers, n)
 	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	slices.Sort(numbers)
 	return numbers, nil
 }
 
