--- a/server/quorum/membership.go
+++ b/server/quorum/membership.go
@@ -16,8 +16,10 @@
 	methodJoin = "raft.join"
 	// membershipInterval is the time between two checks of the membership.
 	membershipInterval = 300 * time.Millisecond
-	// joinTimeout bounds one raft.join request.
-	joinTimeout = 500 * time.Millisecond
+	// joinTimeout bounds one raft.join request, and joinInterval is the time between the
+	// requests of a replica that the leader knows but does not need yet.
+	joinTimeout  = 500 * time.Millisecond
+	joinInterval = time.Second
 	// changeTimeout bounds one membership change, including the copy of the state to a
 	// new member.
 	changeTimeout = 10 * time.Second
@@ -50,13 +52,16 @@
 		policy.DeadAfter = DefaultDeadAfter
 	}
 	q.membershipPolicy.Store(&policy)
+	// standbyLeader is the leader that accepted the last join request at standbySince.
+	standbyLeader, standbySince := "", time.Time{}
 	periodic.Every(ctx, membershipInterval, func() {
 		name, _, self := q.Leader()
 		switch {
 		case self:
 			q.removeFailedMember(ctx, policy)
-		case name == "":
-			q.join(ctx, policy.KnownAddresses())
+		case name == "" && (standbyLeader == "" || time.Since(standbySince) >= joinInterval):
+			standbyLeader = q.join(ctx, append([]string{standbyLeader}, policy.KnownAddresses()...))
+			standbySince = time.Now()
 		}
 	})
 }
@@ -73,9 +78,10 @@
 
 // join asks the leader to add this replica. It tries the given addresses in order and
 // follows redirects to the leader. For a replica that is already a member, the leader
-// accepts the request and changes nothing.
-func (q *Quorum) join(ctx context.Context, addresses []string) {
-	tried := map[string]bool{q.opts.RPCAddress: true}
+// accepts the request and changes nothing. join returns the address of the leader that
+// accepted the request, or "".
+func (q *Quorum) join(ctx context.Context, addresses []string) string {
+	tried := map[string]bool{q.opts.RPCAddress: true, "": true}
 	for len(addresses) > 0 {
 		address := addresses[0]
 		addresses = addresses[1:]
@@ -91,12 +97,13 @@
 			continue
 		}
 		if response.Accepted {
-			return
+			return address
 		}
 		if response.Leader != "" {
 			addresses = append([]string{response.Leader}, addresses...)
 		}
 	}
+	return ""
 }
 
 // handleJoin responds immediately and adds the replica in the background.
--- a/server/registry/entries.go
+++ b/server/registry/entries.go
@@ -20,6 +20,10 @@
 	// at which the entries of other data centres are left out. With 3 entries, the loss
 	// of one or two leaves the caller at least one.
 	minLocalEntries = 3
+	// minWarmEntries is the number of entries in the caller's data centre up to which all
+	// are listed. Of more, half are listed: each then has enough requests to keep its
+	// connections to targets open, and the others replace those that are lost.
+	minWarmEntries = 24
 )
 
 // Entries returns the addresses that a caller in a data centre should use, and how
@@ -54,12 +58,14 @@
 			local = append(local, vm)
 		}
 	}
+	limit := maxListedEntries
 	if len(local) >= minLocalEntries {
 		selected = local
+		limit = min(limit, max(minWarmEntries, len(local)/2))
 	}
-	if len(selected) > maxListedEntries {
+	if len(selected) > limit {
 		slices.SortFunc(selected, func(a, b VM) int { return compareEntries(dataCentre, a, b) })
-		selected = selected[:maxListedEntries]
+		selected = selected[:limit]
 	}
 	return selected
 }
--- a/server/registry/entries_test.go
+++ b/server/registry/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,9 +26,23 @@
 	assert.Len(t, chooseEntries(append(entryVMs("a", 2, false), entryVMs("b", 9, false)...), "a"), 11)
 	assert.Len(t, chooseEntries(append(entryVMs("a", 9, true), entryVMs("b", 9, false)...), "a"), 9)
 	assert.Len(t, chooseEntries(entryVMs("a", 200, false), "a"), maxListedEntries)
+	assert.Len(t, chooseEntries(entryVMs("a", minWarmEntries, false), "a"), minWarmEntries)
+	assert.Len(t, chooseEntries(entryVMs("a", 40, false), "a"), minWarmEntries)
+	assert.Len(t, chooseEntries(entryVMs("a", 60, false), "a"), 30)
 	assert.Equal(t, chooseEntries(entryVMs("a", 200, false), "a"), chooseEntries(entryVMs("a", 200, false), "a"))
 }
 
+// TestLostEntriesAreReplaced guards against callers that have to change most of their
+// connections, or lose entries, when one listed entry is lost.
+func TestLostEntriesAreReplaced(t *testing.T) {
+	all := entryVMs("a", 60, false)
+	before := chooseEntries(slices.Clone(all), "a")
+	lost := before[0].Node
+	after := chooseEntries(slices.DeleteFunc(slices.Clone(all), func(vm VM) bool { return vm.Node == lost }), "a")
+	assert.Subset(t, after, before[1:len(after)])
+	assert.Len(t, after, 29)
+}
+
 // TestWatchTimeoutGrowsWithTheDeployment guards against a hung entry that stays listed
 // for seconds in a small deployment, and against heartbeats that overload control VMs
 // in a large one.
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -309,7 +308,7 @@
 		request.VM = &self
 	}
 	if !f.isEager(self.Node, address) {
-		request.Known = math.MaxUint64
+		request.Known = heartbeatOnly
 	}
 	var response WatchResponse
 	if err := f.options.Pool.Call(callCtx, address, MethodWatch, request, &response); err != nil {
--- a/server/registry/follower_test.go
+++ b/server/registry/follower_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"hemlockvale.dev/coord/catalog"
 )
 
 // TestEagerWatches guards against changes that every control VM announces to every VM, and
@@ -41,3 +44,23 @@
 		assert.InDelta(t, vms*eagerWatches/controlVMs, n, 40, address)
 	}
 }
+
+// TestHeartbeatsOutlastChanges guards against a change that ends the watches of all VMs at
+// all control VMs, and against a VM that learns of a change only at its timeout.
+func TestHeartbeatsOutlastChanges(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	g := New(Options{Machine: NewMachine()})
+	await := func(known uint64) time.Duration {
+		start := time.Now()
+		time.AfterFunc(timeout/6, func() {
+			data, err := encodeCommand(catalog.Command{PutTarget: &catalog.Target{ID: time.Now().String(), State: catalog.Ready}})
+			assert.NoError(t, err)
+			g.options.Machine.Apply(known%1000+1, data)
+		})
+		revision := g.awaitRevision(t.Context(), known, timeout)
+		assert.Positive(t, revision)
+		return time.Since(start)
+	}
+	assert.Less(t, await(0), timeout/2)
+	assert.GreaterOrEqual(t, await(heartbeatOnly), timeout)
+}
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,8 +73,7 @@
 	// Node and Started identify the report.
 	Node    string `json:"n"`
 	Started int64  `json:"s"`
-	// Known is the revision of the catalog that the sender holds, or the highest number if
-	// the sender waits for the timeout only.
+	// Known is the revision of the catalog that the sender holds, or heartbeatOnly.
 	Known uint64 `json:"k"`
 	// WaitMS bounds the wait in milliseconds.
 	WaitMS int64 `json:"w,omitempty"`
@@ -81,6 +81,10 @@
 	Members uint64 `json:"m,omitempty"`
 }
 
+// heartbeatOnly is the value of WatchRequest.Known of a VM that gets changes and members
+// from other control VMs. The response follows at the timeout and names the revision only.
+const heartbeatOnly = math.MaxUint64
+
 // WatchResponse is the response to a WatchRequest.
 type WatchResponse struct {
 	// Revision is the latest revision that the control VM holds.
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -265,19 +265,12 @@
 	} else if !g.refreshReport(r.Node, r.Started) {
 		return WatchResponse{Unknown: true}, nil
 	}
-	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, g.watchTimeout()))
-	defer timer.Stop()
-	revision, changed := g.options.Machine.revision()
-	if revision <= r.Known {
-		select {
-		case <-changed:
-			sleep(ctx, g.changeDelay())
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		revision, _ = g.options.Machine.revision()
-	}
+	timeout := min(time.Duration(r.WaitMS)*time.Millisecond, g.watchTimeout())
+	revision := g.awaitRevision(ctx, r.Known, timeout)
 	response := WatchResponse{Revision: revision}
+	if r.Known == heartbeatOnly {
+		return response, nil
+	}
 	if members, digest := g.members(); digest != r.Members {
 		response.Members = &members
 	}
@@ -315,6 +308,28 @@
 	return min(max(time.Duration(vms)*watchTimeoutPerVM, minWatchTimeout), MaxWatchTimeout)
 }
 
+// awaitRevision waits until there is a later revision than known, or until the timeout, and
+// returns the latest one.
+func (g *Registry) awaitRevision(ctx context.Context, known uint64, timeout time.Duration) uint64 {
+	revision, changed := g.options.Machine.revision()
+	if revision > known {
+		return revision
+	}
+	if known == heartbeatOnly {
+		changed = nil
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		sleep(ctx, g.changeDelay())
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	revision, _ = g.options.Machine.revision()
+	return revision
+}
+
 // changeDelay returns how long further changes are collected.
 func (g *Registry) changeDelay() time.Duration {
 	g.mu.Lock()
