--- a/coord/history/directory.go
+++ b/coord/history/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -17,6 +18,9 @@
 	// copies that are made of a turn during its retention, because a VM that has been
 	// absent may be the last one with a copy.
 	maxHolders = 64
+	// retiredSeconds is how long a retired storage is remembered. A VM is removed with its
+	// disk soon after its retirement.
+	retiredSeconds = 24 * 3600
 )
 
 // Keep is a change that records which VMs hold a turn.
@@ -53,19 +57,20 @@
 // Directory is the replicated index of the kept turns. It is not safe for concurrent use.
 type Directory struct {
 	turns map[Turn]*entry
-	// retired holds the storages that must not be named as holders any more.
-	retired map[string]bool
+	// retired holds the storages that must not be named as holders any more, with the Unix
+	// time at which they were retired.
+	retired map[string]int64
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{turns: make(map[Turn]*entry), retired: make(map[string]bool)}
+	return &Directory{turns: make(map[Turn]*entry), retired: make(map[string]int64)}
 }
 
 // Keep records a turn and reports whether it did. It refuses a holder that is retired,
 // and a copy of an unknown turn. A repeated call adds holders.
 func (d *Directory) Keep(unixSeconds int64, k Keep) bool {
-	if len(k.Holders) == 0 || slices.ContainsFunc(k.Holders, func(s string) bool { return d.retired[s] }) {
+	if len(k.Holders) == 0 || slices.ContainsFunc(k.Holders, d.Retired) {
 		return false
 	}
 	e := d.turns[k.Turn]
@@ -95,16 +100,21 @@
 
 // Retire excludes a storage from holding further records. The records that it holds stay
 // known until they have been copied.
-func (d *Directory) Retire(storage string) { d.retired[storage] = true }
+func (d *Directory) Retire(unixSeconds int64, storage string) { d.retired[storage] = unixSeconds }
 
 // Retired reports whether Retire was called for a storage.
-func (d *Directory) Retired(storage string) bool { return d.retired[storage] }
+func (d *Directory) Retired(storage string) bool {
+	_, retired := d.retired[storage]
+	return retired
+}
 
 // Len returns the number of known turns.
 func (d *Directory) Len() int { return len(d.turns) }
 
-// Expire removes the turns whose retention has passed.
+// Expire removes the turns whose retention has passed, and the storages that were retired
+// long ago.
 func (d *Directory) Expire(unixSeconds int64) {
+	maps.DeleteFunc(d.retired, func(_ string, at int64) bool { return at+retiredSeconds < unixSeconds })
 	for t, e := range d.turns {
 		if e.expires() < unixSeconds {
 			delete(d.turns, t)
@@ -136,7 +146,7 @@
 	byStorage := make(map[string]Store, len(present))
 	lasting := 0
 	for _, s := range present {
-		s.Retiring = s.Retiring || d.retired[s.Storage]
+		s.Retiring = s.Retiring || d.Retired(s.Storage)
 		byStorage[s.Storage] = s
 		if !s.Retiring {
 			lasting++
@@ -213,7 +223,7 @@
 func (d *Directory) Needs(unixSeconds int64, storage string, present []Store, wanted int) bool {
 	lasting := make(map[string]bool, len(present))
 	for _, s := range present {
-		lasting[s.Storage] = !s.Retiring && !d.retired[s.Storage] && s.Storage != storage
+		lasting[s.Storage] = !s.Retiring && !d.Retired(s.Storage) && s.Storage != storage
 	}
 	for _, e := range d.turns {
 		if !e.needsCopies(unixSeconds) || !slices.Contains(e.Holders, storage) {
@@ -234,8 +244,9 @@
 
 // Image is the encoded form of a Directory.
 type Image struct {
-	Turns   []TurnImage `json:"t,omitempty"`
-	Retired []string    `json:"r,omitempty"`
+	Turns []TurnImage `json:"t,omitempty"`
+	// Retired holds the retired storages with the Unix times of their retirement.
+	Retired map[string]int64 `json:"r,omitempty"`
 }
 
 // TurnImage is the encoded form of one turn.
@@ -246,13 +257,10 @@
 
 // Image returns the content of the directory.
 func (d *Directory) Image() Image {
-	image := Image{Turns: make([]TurnImage, 0, len(d.turns))}
+	image := Image{Turns: make([]TurnImage, 0, len(d.turns)), Retired: maps.Clone(d.retired)}
 	for t, e := range d.turns {
 		image.Turns = append(image.Turns, TurnImage{t, *e})
 	}
-	for storage := range d.retired {
-		image.Retired = append(image.Retired, storage)
-	}
 	return image
 }
 
@@ -262,8 +270,6 @@
 	for _, t := range image.Turns {
 		d.turns[t.Turn] = &t.entry
 	}
-	for _, storage := range image.Retired {
-		d.retired[storage] = true
-	}
+	maps.Copy(d.retired, image.Retired)
 	return d
 }
--- a/coord/history/directory_test.go
+++ b/coord/history/directory_test.go
@@ -44,7 +44,7 @@
 func TestRetiredStorageIsRefused(t *testing.T) {
 	d := NewDirectory()
 	require.True(t, d.Keep(100, keep("t", "s0", "s1")))
-	d.Retire("s0")
+	d.Retire(100, "s0")
 	assert.False(t, d.Keep(100, keep("u", "s0", "s1")))
 	stores := newStores(3)
 	assert.True(t, d.Needs(100, "s0", stores, 2))
@@ -53,6 +53,10 @@
 	assert.Equal(t, "s2", plan.Copies[0].To.Storage)
 	require.True(t, d.Keep(100, Keep{Turn: Turn{"o", "t"}, Holders: []string{"s2"}, Copied: true}))
 	assert.False(t, d.Needs(100, "s0", stores, 2))
+	d.Expire(100 + retiredSeconds)
+	assert.True(t, d.Retired("s0"))
+	d.Expire(101 + retiredSeconds)
+	assert.False(t, d.Retired("s0"), "retired storages are not remembered without end")
 }
 
 // TestRetirementWaitsForAbsentVMs guards against a VM that is removed with the last copy of
@@ -60,7 +64,7 @@
 func TestRetirementWaitsForAbsentVMs(t *testing.T) {
 	d := NewDirectory()
 	require.True(t, d.Keep(100, keep("t", "s0", "s1")))
-	d.Retire("s0")
+	d.Retire(100, "s0")
 	assert.True(t, d.Needs(100, "s0", newStores(1), 2))
 	assert.True(t, d.Needs(100, "s0", newStores(2), 2))
 	assert.False(t, d.Needs(100, "s2", newStores(1), 2), "it holds nothing")
@@ -98,7 +102,7 @@
 func TestImage(t *testing.T) {
 	d := NewDirectory()
 	require.True(t, d.Keep(100, keep("t", "s0", "s1")))
-	d.Retire("s7")
+	d.Retire(100, "s7")
 	data, err := json.Marshal(d.Image())
 	require.NoError(t, err)
 	var image Image
--- a/coord/history/schedule_test.go
+++ b/coord/history/schedule_test.go
@@ -194,7 +194,7 @@
 	if len(s.stores) <= 2*simLosses+1 || !v.up {
 		return
 	}
-	s.directory.Retire(v.Storage)
+	s.directory.Retire(s.now, v.Storage)
 	v.Retiring = true
 	s.repair(100)
 	if s.directory.Needs(s.now, v.Storage, s.present(), simLosses+1) {
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -157,7 +157,7 @@
 		s.settle(settlement)
 	}
 	for _, storage := range c.RetiredStorages {
-		s.turns.Retire(storage)
+		s.turns.Retire(s.latestSeconds, storage)
 	}
 	for i, k := range c.Keeps {
 		result.Kept[i] = s.turns.Keep(s.latestSeconds, k)
