forward: tests that hold beside load

A second check read the staged parts before they had been sent. TestEndlessResponses failed 12 of 60 runs with 20 race processes at a time: 1.5 s of a 2 s limit were too few for 8 MB on a starved machine. It now has routes with a limit of 20 s and must have its answer in half of that; 0 of 60. Endless heads still fail it without the bounds.

--- a/server/forward/endless_test.go
+++ b/server/forward/endless_test.go
@@ -16,9 +16,9 @@
 const (
 	// maxEndlessGrowth is the memory that a target which never stops sending may cost.
 	maxEndlessGrowth = 64 << 20
-	// endlessAnswerTime is the time within which its caller must have a response; it is
-	// shorter than the time limit of the request.
-	endlessAnswerTime = 1500 * time.Millisecond
+	// endlessAnswerTime is the time within which its caller must have a response: half of
+	// the time limit of the patient routes.
+	endlessAnswerTime = 10 * time.Second
 )
 
 // startEndlessTarget starts a target that responds to each connection with start and then
@@ -61,19 +61,19 @@
 		status                    int
 		results                   string
 	}{
-		{"status line", "/once/x", "HTTP/1.1 200 ", "x", http.StatusBadGateway, "broken"},
-		{"header value", "/once/x", "HTTP/1.1 200 OK\r\nA: ", "x", http.StatusBadGateway, "broken"},
-		{"header lines", "/once/x", "HTTP/1.1 200 OK\r\n", "A: b\r\n", http.StatusBadGateway, "broken"},
-		{"informational responses", "/once/x", "", "HTTP/1.1 103 Early\r\n\r\n", http.StatusBadGateway, "broken"},
-		{"responses to others", "/once/x", "", foreign + "Content-Length: 0\r\n\r\n", http.StatusBadGateway, "broken"},
-		{"body of another response", "/once/x", foreign + "\r\n", "x", http.StatusBadGateway, "broken"},
-		{"body without length", "/once/x", own + "\r\n", "x", http.StatusBadGateway, "broken"},
-		{"chunk extension", "/once/x", own + "Transfer-Encoding: chunked\r\n\r\n1;a=", "x", http.StatusBadGateway, "broken"},
-		{"chunk size", "/once/x", own + "Transfer-Encoding: chunked\r\n\r\n", "0", http.StatusBadGateway, "broken"},
-		{"trailer", "/once/x", own + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "x", http.StatusBadGateway, "broken"},
-		{"body of a not-run response", "/once/x", notRun + "\r\n", "x", http.StatusServiceUnavailable, "not_run"},
-		{"stream without line ends", "/stream/x", own + "\r\ndata: ", "x", http.StatusBadGateway, "broken"},
-		{"event without an end", "/stream/x", own + "\r\n", "data: x\n", http.StatusBadGateway, "broken"},
+		{"status line", "/patient/x", "HTTP/1.1 200 ", "x", http.StatusBadGateway, "broken"},
+		{"header value", "/patient/x", "HTTP/1.1 200 OK\r\nA: ", "x", http.StatusBadGateway, "broken"},
+		{"header lines", "/patient/x", "HTTP/1.1 200 OK\r\n", "A: b\r\n", http.StatusBadGateway, "broken"},
+		{"informational responses", "/patient/x", "", "HTTP/1.1 103 Early\r\n\r\n", http.StatusBadGateway, "broken"},
+		{"responses to others", "/patient/x", "", foreign + "Content-Length: 0\r\n\r\n", http.StatusBadGateway, "broken"},
+		{"body of another response", "/patient/x", foreign + "\r\n", "x", http.StatusBadGateway, "broken"},
+		{"body without length", "/patient/x", own + "\r\n", "x", http.StatusBadGateway, "broken"},
+		{"chunk extension", "/patient/x", own + "Transfer-Encoding: chunked\r\n\r\n1;a=", "x", http.StatusBadGateway, "broken"},
+		{"chunk size", "/patient/x", own + "Transfer-Encoding: chunked\r\n\r\n", "0", http.StatusBadGateway, "broken"},
+		{"trailer", "/patient/x", own + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "x", http.StatusBadGateway, "broken"},
+		{"body of a not-run response", "/patient/x", notRun + "\r\n", "x", http.StatusServiceUnavailable, "not_run"},
+		{"stream without line ends", "/patient-stream/x", own + "\r\ndata: ", "x", http.StatusBadGateway, "broken"},
+		{"event without an end", "/patient-stream/x", own + "\r\n", "data: x\n", http.StatusBadGateway, "broken"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -235,6 +235,8 @@
 			{Name: "once", Host: "127.0.0.1", PathPrefix: "/once/", Kind: routing.NonIdempotent, TimeoutMS: 2000, MaxAttempts: 3, Destinations: destination},
 			{Name: "again", Host: "127.0.0.1", PathPrefix: "/again/", Kind: routing.Idempotent, TimeoutMS: 2000, MaxAttempts: 3, Destinations: destination},
 			{Name: "stream", Host: "127.0.0.1", PathPrefix: "/stream/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, Resumable: true, Destinations: engine},
+			{Name: "patient", Host: "127.0.0.1", PathPrefix: "/patient/", Kind: routing.NonIdempotent, TimeoutMS: 20000, MaxAttempts: 3, Destinations: destination},
+			{Name: "patient_stream", Host: "127.0.0.1", PathPrefix: "/patient-stream/", Kind: routing.Streaming, TimeoutMS: 20000, MaxAttempts: 1, Resumable: true, Destinations: engine},
 			{Name: "retried", Host: "127.0.0.1", PathPrefix: "/retried/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 2, Resumable: true, Destinations: engine},
 			{Name: "resumable_chat", Host: "127.0.0.1", PathPrefix: "/resumable-chat/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, Resumable: true, RetentionSeconds: 60, KeepsHistory: true, Destinations: engine},
 			{Name: "chat", Host: "127.0.0.1", PathPrefix: "/chat/", Kind: routing.Streaming, TimeoutMS: 2000, MaxAttempts: 1, RetentionSeconds: 60, KeepsHistory: true, Destinations: engine},
--- a/server/forward/history_test.go
+++ b/server/forward/history_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -49,6 +51,13 @@
 	h.staged = append(h.staged, string(d.Content))
 }
 
+// stagedParts returns the parts that were staged.
+func (h *testHistories) stagedParts() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.staged)
+}
+
 func (h *testHistories) Write(_ context.Context, d historystore.Draft, candidates []history.Store, copies int) ([]string, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -110,9 +119,10 @@
 	}
 }
 
-// stream returns the response to the request id with the given events.
+// stream returns the response to the request id with the given events. It announces the end
+// of the connection, which startRecordingTarget closes.
 func stream(id string, events ...string) string {
-	text := strings.Replace(streamHeader, "Id: r", "Id: "+id, 1)
+	text := strings.Replace(streamHeader, "Id: r", "Connection: close\r\nId: "+id, 1)
 	for _, e := range events {
 		text += chunk(e)
 	}
@@ -146,7 +156,9 @@
 	require.Len(t, l.keeps, 4)
 	assert.Equal(t, history.Keep{Turn: history.Turn{Organisation: "o", ID: "t1"}, Holders: l.keeps[0].Holders, RetentionSeconds: 60}, l.keeps[0])
 	assert.Len(t, l.keeps[0].Holders, 2)
-	assert.ElementsMatch(t, bodies(), h.staged, "what the target received is sent in advance")
+	// The parts are sent beside the streams and may arrive after their ends.
+	require.Eventually(t, func() bool { return len(h.stagedParts()) == len(bodies()) }, time.Second, time.Millisecond)
+	assert.ElementsMatch(t, bodies(), h.stagedParts(), "what the target received is sent in advance")
 }
 
 // TestEndOnlyAfterTheTurnIsKept guards against a stream that looks complete although the
