--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -60,7 +60,8 @@
 	errNotSent = errors.New("request was not sent")
 	// errHeadTooLarge is returned for a response whose head exceeds maxHeadBytes.
 	errHeadTooLarge = errors.New("head of the response is too large")
-	// errDiscardTooLarge is returned for a response that is not worth reading to its end.
+	// errDiscardTooLarge is returned for a response that is closed instead of read to its
+	// end.
 	errDiscardTooLarge = errors.New("discarded response is too large")
 )
 
--- a/server/forward/history.go
+++ b/server/forward/history.go
@@ -21,8 +21,8 @@
 type Histories interface {
 	// Read returns the history up to and including a turn and the storage it comes from.
 	Read(ctx context.Context, t history.Turn, holders []history.Store) (content []byte, source string, err error)
-	// Stage sends the first part of a record to store VMs in advance. It may fail.
-	Stage(ctx context.Context, d historystore.Draft, stores []history.Store)
+	// Stage sends the first part of a record to store VMs in advance.
+	Stage(ctx context.Context, d historystore.Draft, stores []history.Store) error
 	// Write stores a record on the given number of candidates and returns their storages.
 	Write(ctx context.Context, d historystore.Draft, candidates []history.Store, copies int) ([]string, error)
 }
@@ -205,7 +205,15 @@
 	}
 	plan.staged = true
 	x.history.plan = plan
-	go x.entry.options.Histories.Stage(x.ctx, x.newDraft(x.targetBody()), plan.candidates[:x.entry.options.HistoryCopies])
+	go x.stage(x.newDraft(x.targetBody()), plan.candidates[:x.entry.options.HistoryCopies])
+}
+
+// stage sends the known part of the record to store VMs. If that fails, the end of the turn
+// is only later.
+func (x *exchange) stage(d historystore.Draft, stores []history.Store) {
+	if err := x.entry.options.Histories.Stage(x.ctx, d, stores); err != nil && x.ctx.Err() == nil {
+		x.entry.options.Log.WithFields(logrus.Fields{"event": "turn_not_staged", "request": d.Turn.ID}).WithError(err).Warn("part of a record not sent in advance")
+	}
 }
 
 // planKeep chooses the store VMs for the record of the turn and has the ledger record them.
--- a/server/forward/history_test.go
+++ b/server/forward/history_test.go
@@ -45,10 +45,11 @@
 	return []byte(content), "a", h.readErr
 }
 
-func (h *testHistories) Stage(_ context.Context, d historystore.Draft, _ []history.Store) {
+func (h *testHistories) Stage(_ context.Context, d historystore.Draft, _ []history.Store) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.staged = append(h.staged, string(d.Content))
+	return nil
 }
 
 // stagedParts returns the parts that were staged.
--- a/server/history/client.go
+++ b/server/history/client.go
@@ -125,29 +125,33 @@
 }
 
 // Stage sends the first part of a record, which is the Content of the draft, to store VMs
-// while the turn is running, so that Write has less to send. A VM that did not receive it
-// gets the whole record later, so failures are not reported.
-func (c *Client) Stage(ctx context.Context, d Draft, stores []history.Store) {
+// while the turn is running, so that Write has less to send. After an error, Write sends the
+// whole record to the VMs that did not receive the part.
+func (c *Client) Stage(ctx context.Context, d Draft, stores []history.Store) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	errs := make([]error, len(stores))
 	var wg sync.WaitGroup
-	for _, s := range stores {
-		wg.Go(func() { c.stageAt(ctx, s.Address, d) })
+	for i, s := range stores {
+		wg.Go(func() { errs[i] = c.stageAt(ctx, s.Address, d) })
 	}
 	wg.Wait()
+	return errors.Join(errs...)
 }
 
 // stageAt sends the first part of a record to one store VM.
-func (c *Client) stageAt(ctx context.Context, address string, d Draft) {
+func (c *Client) stageAt(ctx context.Context, address string, d Draft) error {
 	request := stageRequest{Turn: d.Turn, Content: d.Content}
 	if d.Previous != nil {
 		request.Base, request.Content = d.Previous, d.Content[d.BaseBytes:]
 	}
 	var response baseResponse
-	if c.call(ctx, address, pathStage, request, &response) == nil && response.BaseMissing && request.Base != nil {
+	err := c.call(ctx, address, pathStage, request, &response)
+	if err == nil && response.BaseMissing && request.Base != nil {
 		request.Base, request.Content = nil, d.Content
-		_ = c.call(ctx, address, pathStage, request, &response)
+		err = c.call(ctx, address, pathStage, request, &response)
 	}
+	return err
 }
 
 // Write stores a record on copies of the candidates, which it tries in order, and returns
--- a/server/history/service_test.go
+++ b/server/history/service_test.go
@@ -116,7 +116,8 @@
 	require.NoError(t, err)
 	d := draft("second", "one,two")
 	d.Previous, d.BaseBytes = &previous, len("one")
-	client.Stage(t.Context(), d, []history.Store{a.Store, b.Store, deadStore})
+	require.NoError(t, client.Stage(t.Context(), d, []history.Store{a.Store, b.Store}))
+	require.Error(t, client.Stage(t.Context(), d, []history.Store{deadStore}))
 	d.Content, d.StagedBytes = append(d.Content, ",three"...), len(d.Content)
 	for range 2 {
 		holders, err := client.Write(t.Context(), d, []history.Store{a.Store, b.Store, c.Store}, 3)
