--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,9 +125,14 @@
 	require.NoError(c.t, os.RemoveAll(filepath.Join(c.dir, name)))
 }
 
-// reserveAddress returns an unused loopback address.
+// reservedAddresses counts the addresses that reserveAddress has returned.
+var reservedAddresses atomic.Uint32
+
+// reserveAddress returns an unused loopback address. It has an IP of its own, so that no
+// other process takes the port while the replica is stopped.
 func (c *cluster) reserveAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := reservedAddresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+os.Getpid()/200%100, os.Getpid()%200, n%250+1))
 	require.NoError(c.t, err)
 	defer l.Close()
 	return l.Addr().String()
