--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -64,6 +64,11 @@
 	Signed bool
 	// IdleTimeout is how long the target keeps an idle connection; 0 if not stated.
 	IdleTimeout time.Duration
+	// RateLimit is the number of requests per second that the target accepts from all VMs
+	// together; nil if the target states no limit.
+	RateLimit *float64
+	// Err describes headers that could not be decoded.
+	Err error
 }
 
 // HeaderCodec translates the headers of callers and targets.
--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -26,6 +26,11 @@
 	timeToHeader time.Duration
 	// outcomes lists the result at each target as TARGET:RESULT.
 	outcomes []string
+	// sends counts the requests that were sent to targets; a broken stream that is resumed
+	// is sent once more to the same target.
+	sends int
+	// rateLimit is the rate limit that a target stated last; nil if none did.
+	rateLimit *float64
 	// aborted is set if finish must close the caller's connection.
 	aborted bool
 	// targetErr is the latest error at a target.
@@ -64,7 +69,10 @@
 	}
 	if len(x.record.outcomes) > 0 {
 		fields["targets"], fields["admit_ms"], fields["queued_ms"] = strings.Join(x.record.outcomes, ","), milliseconds(x.record.admitTime), milliseconds(x.record.queueTime)
-		fields["first_ms"] = milliseconds(x.record.timeToHeader)
+		fields["first_ms"], fields["sends"] = milliseconds(x.record.timeToHeader), x.record.sends
+	}
+	if x.record.rateLimit != nil {
+		fields["rate_limit"] = *x.record.rateLimit
 	}
 	if x.events > 0 || x.responseStarted {
 		fields["events"] = x.events
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
@@ -125,6 +127,7 @@
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
 	out := x.newTargetRequest(grant)
+	x.record.sends++
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
@@ -139,6 +142,7 @@
 	if err != nil {
 		return dispatch.Broken, info, false, err
 	}
+	x.observeLimit(grant, info)
 	reusable = !response.Close
 	if info.NotRun {
 		err = c.discard(response.Body)
@@ -159,6 +163,17 @@
 	return result, info, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
+// observeLimit records the rate limit that the target's response states.
+func (x *exchange) observeLimit(grant ledgerhost.AdmitResponse, info ResponseInfo) {
+	if info.Err != nil {
+		x.entry.options.Log.WithFields(logrus.Fields{"event": "response_header_invalid", "request": x.call.ID, "target": grant.Target}).WithError(info.Err).Warn("a header of the target's response cannot be decoded")
+		return
+	}
+	if info.RateLimit != nil {
+		x.record.rateLimit = info.RateLimit
+	}
+}
+
 // newTargetRequest returns the request to send to the granted target, with the
 // headers that the target expects.
 func (x *exchange) newTargetRequest(grant ledgerhost.AdmitResponse) *targetRequest {
