dispatch, ledger, forward: pace the grants at targets that state a rate limit

Cause: nothing read the header. The class of fault: a condition that a peer states in a response is relayed but does not reach the one place that decides.

Now the entry reports a limit, or its end, to the ledger's leader as soon as the head of a response differs from what the leader knew when it granted (a stream may last longer than the time to react). The leader paces its grants with a token bucket for each limited target and lets other targets take the rest. A limit ends only with a response to a request that was granted after the limit was last stated. Entries repeat the limits that they know to a new leader before their first request. A new bucket starts empty, so two leaders in a row do not exceed a window. The wait of the queue is estimated by the limits if all targets of a service have one, so what cannot be served is refused at once.

The same cause elsewhere: a broken stream was sent to its target again without a grant, which escaped the limit and the draining of that target. It now needs a grant that is pinned to the target.

The link between entries and store VMs is now HVL3.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -36,8 +36,10 @@
 	targets          map[string]*target
 	targetsByService map[string][]*target
 	buckets          map[string]*bucket
-	grants           map[string]*grant
-	queues           map[string]*queue // by service
+	// rates holds the rate limits that targets state, by target.
+	rates  map[string]*targetRate
+	grants map[string]*grant
+	queues map[string]*queue // by service
 	// programs holds the programs that have started.
 	programs *programs
 	medians  map[string]*cachedMedian
@@ -76,6 +78,7 @@
 		targets:          make(map[string]*target),
 		targetsByService: make(map[string][]*target),
 		buckets:          make(map[string]*bucket),
+		rates:            make(map[string]*targetRate),
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
@@ -99,6 +102,7 @@
 		d.targetsByService[t.Service] = append(d.targetsByService[t.Service], n)
 	}
 	d.targets = next
+	d.attachRates(now)
 	return d.grantAllWaiting(now)
 }
 
@@ -117,7 +121,7 @@
 		}
 		tokenAt += wait
 	}
-	if len(d.targetsByService[r.Service]) == 0 {
+	if !d.hasTarget(&r) {
 		d.refund(r.Organisation)
 		return Outcome{ID: r.ID, Refusal: NoTarget, RetryAfter: d.withJitter(noTargetRetryAfter)}
 	}
@@ -129,7 +133,7 @@
 	}
 	q := d.queue(r.Service)
 	q.assignRank(now, w)
-	if len(q.waiting) == 0 {
+	if r.pinned() || !q.hasUnpinned() {
 		if o, ok := d.place(now, w); ok {
 			return o
 		}
@@ -219,6 +223,9 @@
 	t := d.targets[decision.Target]
 	t.outstanding++
 	t.tokens += need
+	if t.rate != nil {
+		t.rate.bucket.tokens--
+	}
 	if t.cache != nil {
 		t.cache.recordPrompt(r.Parts)
 	}
@@ -238,7 +245,7 @@
 	median := d.median(now, r.Service)
 	d.candidates = d.candidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
-		if t.classFor(now, r) != best || !t.hasCapacity(now, need) {
+		if !r.allows(t) || t.classFor(now, r) != best || !t.hasCapacity(now, need) {
 			continue
 		}
 		c := t.candidate(r)
@@ -253,11 +260,22 @@
 func (d *Dispatcher) bestClass(now time.Duration, r *Request) targetClass {
 	best := unusable
 	for _, t := range d.targetsByService[r.Service] {
-		best = min(best, t.classFor(now, r))
+		if r.allows(t) {
+			best = min(best, t.classFor(now, r))
+		}
 	}
 	return best
 }
 
+// hasTarget reports whether a request may wait for a target: any target of its service, or
+// one that accepts requests if the request is pinned.
+func (d *Dispatcher) hasTarget(r *Request) bool {
+	if !r.pinned() {
+		return len(d.targetsByService[r.Service]) > 0
+	}
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
+}
+
 // median returns the median unit time of a service's targets, which is recomputed
 // every medianValidity.
 func (d *Dispatcher) median(now time.Duration, service string) float64 {
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -94,6 +94,9 @@
 	// completions measures the requests that the service completes, and
 	// onTrackArrivals the arriving requests whose programs are on track.
 	completions, onTrackArrivals meter
+	// maxRate is the number of requests per second that the rate limits of the targets
+	// allow together; 0 if there is no bound.
+	maxRate float64
 	// backlogSince is when the backlog started; 0 if there is none.
 	backlogSince time.Duration
 }
@@ -104,10 +107,24 @@
 // serviceTime returns how long the service needs to serve a number of requests, or 0
 // if its rate is not known yet.
 func (q *queue) serviceTime(requests int) time.Duration {
-	if q.completions.rate < 1 {
+	rate := q.rate()
+	if rate == 0 {
 		return 0
 	}
-	return time.Duration(float64(requests) / q.completions.rate * float64(time.Second))
+	return time.Duration(float64(requests) / rate * float64(time.Second))
+}
+
+// rate returns the number of requests per second that the service completes, or 0 if it is
+// not known yet.
+func (q *queue) rate() float64 {
+	measured := q.completions.rate
+	switch {
+	case measured < 1:
+		return q.maxRate
+	case q.maxRate > 0:
+		return min(measured, q.maxRate)
+	}
+	return measured
 }
 
 // updateBacklog records when a backlog starts or ends.
@@ -140,6 +157,10 @@
 func (q *queue) assignRank(now time.Duration, w *waitingRequest) {
 	q.updateBacklog(now)
 	w.rank = w.queuedAt + w.delay(q.behindDelay(now))
+	if w.request.pinned() {
+		// A stream that has begun goes on before others begin.
+		w.rank = 0
+	}
 	if w.status == onTrack {
 		q.onTrackArrivals.add(now)
 	}
@@ -156,6 +177,12 @@
 	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
+// hasUnpinned reports whether a request waits that any target of the service may get.
+// Pinned requests are first in the queue.
+func (q *queue) hasUnpinned() bool {
+	return slices.ContainsFunc(q.waiting, func(w *waitingRequest) bool { return !w.request.pinned() })
+}
+
 // expectedWait estimates how long a request would wait. While a backlog persists, a
 // request that is put back also waits for later arrivals that are ranked before it,
 // so it only gets the capacity that those leave.
@@ -191,12 +218,18 @@
 			out = append(out, Outcome{ID: w.request.ID, Refusal: Expired, RetryAfter: d.withJitter(minRetryAfter), Waited: now - w.queuedAt})
 			continue
 		}
+		if w.request.pinned() && !d.hasTarget(&w.request) {
+			d.refund(w.request.Organisation)
+			out = append(out, Outcome{ID: w.request.ID, Refusal: NoTarget, RetryAfter: d.withJitter(noTargetRetryAfter), Waited: now - w.queuedAt})
+			continue
+		}
 		if !blocked {
 			if o, ok := d.place(now, w); ok {
 				out = append(out, o)
 				continue
 			}
-			blocked = true
+			// A pinned request may wait for a target that the others do not need.
+			blocked = !w.request.pinned()
 		}
 		rest = append(rest, w)
 	}
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -48,7 +48,9 @@
 	broken int
 	// fullUntil is when the pause after a refusal as full ends.
 	fullUntil time.Duration
-	stats     targetStats
+	// rate is nil while the target states no rate limit.
+	rate  *targetRate
+	stats targetStats
 }
 
 func newTarget(t Target) *target {
@@ -65,6 +67,9 @@
 	if t.Draining || now < t.fullUntil || t.outstanding >= t.maxOutstanding() {
 		return false
 	}
+	if t.rate != nil && !t.rate.available(now) {
+		return false
+	}
 	return t.KVCapacity == 0 || t.outstanding == 0 || t.tokens+need <= t.KVCapacity
 }
 
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -92,12 +92,21 @@
 	BudgetTurns float64 `json:"bt,omitempty"`
 	// Parts holds the sections of the prompt, in order.
 	Parts []Part `json:"q,omitempty"`
+	// Target is the id of the only target that may get the request, because it continues a
+	// stream there; empty if any target of the service may.
+	Target string `json:"tg,omitempty"`
 	// Exclude lists the ids of targets that have already failed to run this request.
 	Exclude []string `json:"x,omitempty"`
 	// DataCentre is the data centre of the sending VM.
 	DataCentre string `json:"d,omitempty"`
 }
 
+// pinned reports whether only some targets of the service may get the request.
+func (r *Request) pinned() bool { return r.Target != "" }
+
+// allows reports whether the request may run at a target of its service.
+func (r *Request) allows(t *target) bool { return r.Target == "" || r.Target == t.ID }
+
 func (r *Request) promptTokens() int64 {
 	total := int64(0)
 	for _, p := range r.Parts {
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -12,9 +12,8 @@
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
-// admit requests a target from the ledger. It returns false, after responding to
-// the caller, if the ledger grants none.
-func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
+// newAdmitRequest describes the request to the ledger.
+func (x *exchange) newAdmitRequest() ledgerhost.AdmitRequest {
 	request := ledgerhost.AdmitRequest{Attempt: x.attempt, Reserve: x.reservation, PreviousTurn: x.previousTurn()}
 	request.ID, request.Service, request.Priority = x.call.ID, x.service.Name, x.route.Priority
 	request.Program, request.RoutePriority = x.call.Program, x.route.Priority
@@ -36,10 +35,36 @@
 	if x.service.Engine != nil {
 		request.Parts, request.OutputTokens = x.call.Parts, x.call.OutputTokens
 	}
+	return request
+}
+
+// askLedger sends an admission request and measures how long the ledger takes.
+func (x *exchange) askLedger(request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	askedAt := bootclock.Now()
 	response, err := x.entry.options.Ledger.Admit(x.ctx, request)
 	x.record.admitTime += bootclock.Now() - askedAt
 	x.record.queueTime += response.Waited
+	return response, err
+}
+
+// admitAgain requests another grant at the target that broke off the stream, which may have
+// reached its rate limit or be draining by now. It returns false if the ledger gives none.
+func (x *exchange) admitAgain(broken ledgerhost.AdmitResponse) (ledgerhost.AdmitResponse, bool) {
+	x.attempt++
+	request := x.newAdmitRequest()
+	request.Target = broken.Target
+	response, err := x.askLedger(request)
+	if err != nil {
+		x.record.targetErr = err
+		return response, false
+	}
+	return response, response.Refusal == "" && response.Address != ""
+}
+
+// admit requests a target from the ledger. It returns false, after responding to
+// the caller, if the ledger grants none.
+func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
+	response, err := x.askLedger(x.newAdmitRequest())
 	if err != nil {
 		x.settle()
 		x.failRequest()
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -70,6 +70,8 @@
 	Confirm(ctx context.Context, r ledger.Reserve) error
 	// Done queues a done report for the ledger. It never blocks.
 	Done(r ledgerhost.DoneReport)
+	// ReportRate tells the ledger what a target's response says about its rate limit.
+	ReportRate(r ledgerhost.TargetRate)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
 	Keep(ctx context.Context, k history.Keep) error
 }
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -49,7 +50,12 @@
 }
 
 func (testCodec) DecodeResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != ""}
+	info := ResponseInfo{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != ""}
+	if text := h.Get("Limit"); text != "" {
+		limit, err := strconv.ParseFloat(text, 64)
+		info.RateLimit, info.Err = &limit, err
+	}
+	return info
 }
 
 // testLedger grants its targets in order and records the done reports.
@@ -69,18 +75,35 @@
 	keepErr error
 	// holders are granted as the holders of the previous turn.
 	holders []string
+	// rateLimit is the rate limit that grants state, and rates are the reported ones.
+	rateLimit *float64
+	rates     []ledgerhost.TargetRate
+	// refuseResumes is set if streams may not be resumed at their target.
+	refuseResumes bool
+}
+
+func (l *testLedger) ReportRate(r ledgerhost.TargetRate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates = append(l.rates, r)
 }
 
 func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.admissions = append(l.admissions, r)
+	if r.Target != "" {
+		if l.refuseResumes {
+			return ledgerhost.AdmitResponse{Refusal: dispatch.NoTarget}, nil
+		}
+		return ledgerhost.AdmitResponse{Target: r.Target, Address: strings.TrimPrefix(r.Target, "t-"), Holders: l.holders}, nil
+	}
 	if len(l.targets) == 0 {
 		return ledgerhost.AdmitResponse{Refusal: cmp.Or(l.finalRefusal, dispatch.Overloaded), RetryAfter: time.Second}, nil
 	}
 	address := l.targets[0]
 	l.targets = l.targets[1:]
-	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders}, nil
+	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit}, nil
 }
 
 func (l *testLedger) Confirm(ctx context.Context, _ ledger.Reserve) error {
--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -29,7 +29,7 @@
 	// sends counts the requests that were sent to targets; a broken stream that is resumed
 	// is sent once more to the same target.
 	sends int
-	// rateLimit is the rate limit that a target stated last; nil if none did.
+	// rateLimit is the rate limit that the last response stated; nil if it stated none.
 	rateLimit *float64
 	// aborted is set if finish must close the caller's connection.
 	aborted bool
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -51,8 +51,11 @@
 			x.failRequest()
 			return false
 		}
-		if result == dispatch.Broken && x.resumable() && resumed < maxResumes && !errors.Is(err, errNotSent) {
-			continue
+		if result == dispatch.Broken && x.resumable() && resumed < maxResumes {
+			if next, ok := x.admitAgain(grant); ok {
+				grant = next
+				continue
+			}
 		}
 		return x.handleFailure(grant, result)
 	}
@@ -163,14 +166,18 @@
 	return result, info, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
-// observeLimit records the rate limit that the target's response states.
+// observeLimit records the rate limit that the target's response states, and reports it if
+// the ledger's leader did not know it at the time of the grant. It does not wait for the
+// end of the response, which may be a long stream.
 func (x *exchange) observeLimit(grant ledgerhost.AdmitResponse, info ResponseInfo) {
 	if info.Err != nil {
 		x.entry.options.Log.WithFields(logrus.Fields{"event": "response_header_invalid", "request": x.call.ID, "target": grant.Target}).WithError(info.Err).Warn("a header of the target's response cannot be decoded")
 		return
 	}
-	if info.RateLimit != nil {
-		x.record.rateLimit = info.RateLimit
+	x.record.rateLimit = info.RateLimit
+	known := grant.RateLimit
+	if (known == nil) != (info.RateLimit == nil) || known != nil && *known != *info.RateLimit {
+		x.entry.options.Ledger.ReportRate(ledgerhost.TargetRate{Target: grant.Target, PerSecond: info.RateLimit, Request: x.call.ID})
 	}
 }
 
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -69,6 +69,8 @@
 	lostLeader, successor string
 	// members are the store VMs that last were known to hold a replica of the ledger.
 	members []string
+	// rates are the rate limits of targets that the leader must know.
+	rates knownRates
 	// searches counts the searches; offset makes entries ask different store VMs.
 	searches, offset int
 	// unavailableSince is the time of the first failure since a store VM last decided
@@ -84,7 +86,7 @@
 
 // NewClient returns a client. Run must be called to send its done reports.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), offset: rand.IntN(math.MaxInt16)}
+	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), rates: make(knownRates), offset: rand.IntN(math.MaxInt16)}
 }
 
 // Admit requests a target for r and retries until a store VM decides about it. It
@@ -102,7 +104,7 @@
 		r.TimeLeft = timeLimit - time.Since(start)
 		response, err := l.admit(ctx, r)
 		if err == nil {
-			c.markAvailable(l)
+			c.markAvailable(l, response)
 			return response, nil
 		}
 		if ctx.Err() != nil {
@@ -184,10 +186,14 @@
 	return min(timeLeft, electionWait)
 }
 
-// markAvailable records that a store VM admits requests, and logs the end of an outage.
-func (c *Client) markAvailable(l *clientLink) {
+// markAvailable records that a store VM admits requests and which rate limit it knows, and
+// logs the end of an outage.
+func (c *Client) markAvailable(l *clientLink, response AdmitResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if response.RateLimit != nil {
+		c.rates.record(response.Target, response.RateLimit)
+	}
 	if c.unavailableSince.IsZero() {
 		return
 	}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -254,6 +254,12 @@
 	if t, ok := h.options.View().Target(r.Target); ok {
 		fields["near"] = t.DataCentre == a.request.DataCentre
 	}
+	if r.RateLimit != nil {
+		fields["rate_limit"] = *r.RateLimit
+	}
+	if a.request.Target != "" {
+		fields["resumed"] = true
+	}
 	if r.Target != "" {
 		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
 	} else {
@@ -280,6 +286,9 @@
 	if t, ok := h.options.View().Target(o.Target); ok {
 		r.Address = t.Address
 	}
+	if rate, ok := h.dispatcher.TargetRate(o.Target); ok {
+		r.RateLimit = &rate
+	}
 	return r
 }
 
@@ -323,6 +332,28 @@
 	}
 }
 
+// recordRates applies what entries report about the rate limits of targets. The caller
+// holds h.mu.
+func (h *Host) recordRates(rates []TargetRate) {
+	now := bootclock.Now()
+	for _, r := range rates {
+		fields := logrus.Fields{"event": "target_rate", "target": r.Target}
+		changed := false
+		var outcomes []dispatch.Outcome
+		if r.PerSecond != nil {
+			fields["limit"] = *r.PerSecond
+			changed = h.dispatcher.LimitTarget(now, r.Target, *r.PerSecond)
+		} else {
+			fields["limit"] = "none"
+			outcomes, changed = h.dispatcher.UnlimitTarget(now, r.Target, r.Request)
+		}
+		if changed {
+			h.options.Log.WithFields(fields).Info("rate limit of a target changed")
+		}
+		h.deliverOutcomes(outcomes)
+	}
+}
+
 func (h *Host) tick() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/compact"
 	"hemlockvale.dev/server/quorum"
 	"hemlockvale.dev/server/registry"
 	"hemlockvale.dev/server/rpc"
@@ -164,6 +166,32 @@
 	assert.Equal(t, BudgetExhausted, response.Refusal, "50 tokens are spent and 30 reserved")
 }
 
+// TestNewLeaderLearnsTheRates guards against a new leader that grants requests at a target
+// without the rate limit that the entries know.
+func TestNewLeaderLearnsTheRates(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	var address atomic.Value
+	address.Store(s.address)
+	c := startClient(t, func() []string { return []string{address.Load().(string)} })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first := turnRequest("a", 1000, 10)
+	_, err := c.Admit(ctx, first)
+	require.NoError(t, err)
+	limit := 0.8
+	c.ReportRate(TargetRate{Target: "t", PerSecond: &limit, Request: "a"})
+	s.stop()
+	s = startStore(t, t.TempDir())
+	address.Store(s.address)
+	start := time.Now()
+	response, err := c.Admit(ctx, turnRequest("b", 1000, 10))
+	require.NoError(t, err)
+	assert.Equal(t, "t", response.Target)
+	require.NotNil(t, response.RateLimit)
+	assert.Equal(t, limit, *response.RateLimit)
+	assert.Greater(t, time.Since(start), time.Second, "the new leader starts without saved-up rate")
+}
+
 // TestMissingLeaderIsReportedQuickly guards against callers that wait until their time
 // runs out although no store VM has admitted requests for a long time.
 func TestMissingLeaderIsReportedQuickly(t *testing.T) {
@@ -196,6 +224,7 @@
 func TestMessagesKeepTheirFields(t *testing.T) {
 	sent := turnRequest("a", 100, 60)
 	sent.Attempt, sent.Organisation, sent.Exclude, sent.PreviousTurn = 2, "o", []string{"x"}, "before"
+	sent.Target = "t"
 	sent.Parts = []dispatch.Part{{ID: "p", Tokens: 7}}
 	sent.Limits = dispatch.Limits{Version: 3, RatePerSecond: 1.5, Burst: 2}
 	message, err := encode(kindAdmit, &sent)
@@ -207,6 +236,16 @@
 	require.NoError(t, msgpack.Unmarshal(payload, &got))
 	assert.Equal(t, sent, got)
 	assert.Less(t, len(message), 160, "a message is compact")
+
+	limit := 2.5
+	rates := []TargetRate{{Target: "t", PerSecond: &limit, Request: "a"}, {Target: "u"}}
+	message, err = encode(kindTargetRates, rates)
+	require.NoError(t, err)
+	_, payload, err = decode(bufio.NewReader(bytes.NewReader(message)))
+	require.NoError(t, err)
+	var gotRates []TargetRate
+	require.NoError(t, compact.Unmarshal(payload, &gotRates))
+	assert.Equal(t, rates, gotRates)
 }
 
 // stubProposer commits every batch, or fails it with err if that is set.
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -179,6 +179,12 @@
 			return err
 		}
 		h.done(r)
+	case kindTargetRates:
+		var rates []TargetRate
+		if err := compact.Unmarshal(payload, &rates); err != nil {
+			return err
+		}
+		h.recordRates(rates)
 	}
 	return nil
 }
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -17,7 +17,7 @@
 // Preface is sent first on a connection from an entry to a store VM. The connection
 // carries compact binary messages instead of JSON, because every request of the
 // deployment causes several of them.
-const Preface = "HVL2"
+const Preface = "HVL3"
 
 // BudgetExhausted is the refusal of a turn that the program's budget does not cover.
 const BudgetExhausted dispatch.Refusal = "budget_exhausted"
@@ -48,6 +48,8 @@
 	// kindKeep records which store VMs hold a turn; kindKeepOutcome is the response.
 	kindKeep
 	kindKeepOutcome
+	// kindTargetRates reports rate limits that targets have stated.
+	kindTargetRates
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -86,6 +88,20 @@
 	Reason string
 	// Holders are the storages that hold the record of the previous turn.
 	Holders []string
+	// RateLimit is the rate limit of the target that the leader knows, in requests per
+	// second; nil if it knows none.
+	RateLimit *float64
+}
+
+// TargetRate reports what a target's response says about its rate limit.
+type TargetRate struct {
+	// Target is the id of the target.
+	Target string
+	// PerSecond is the limit in requests per second for all VMs together; nil if the
+	// response states none.
+	PerSecond *float64
+	// Request is the id of the request; empty if the limit is repeated to a new leader.
+	Request string
 }
 
 // reservationOutcome reports the outcome of a reservation.
--- a/server/ledger/search.go
+++ b/server/ledger/search.go
@@ -145,6 +145,11 @@
 	if found == nil {
 		return
 	}
+	if err := c.repeatRates(found); err != nil {
+		found.close(err)
+		c.markUnavailable(found.address, err)
+		return
+	}
 	c.link, c.lostLeader, c.successor = found, "", ""
 	if len(found.members) > 0 {
 		c.members = found.members
