--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -43,6 +43,9 @@
 	Service    string `json:"service"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre,omitempty"`
+	// Software is the version of the target's software. What two versions generate does not
+	// fit together.
+	Software string `json:"software,omitempty"`
 	// Slots is the number of requests that the target runs at once.
 	Slots int `json:"slots"`
 	// State is the latest announced state.
--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -31,6 +31,9 @@
 	// LastEventID is the id of the last event that the caller has received; empty if
 	// the stream starts from the beginning.
 	LastEventID string
+	// Resumes is the id of the request that delivered the first event of the stream which
+	// the caller takes up after LastEventID; empty if it starts from the beginning.
+	Resumes string
 	// PreviousTurn is the id of the request whose history this one continues; empty if
 	// there is none.
 	PreviousTurn string
--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -67,6 +67,9 @@
 	if x.call.Program != "" {
 		fields["program"] = x.call.Program
 	}
+	if x.call.LastEventID != "" {
+		fields["last_event"], fields["resumes"] = x.call.LastEventID, x.call.Resumes
+	}
 	if len(x.record.outcomes) > 0 {
 		fields["targets"], fields["admit_ms"], fields["queued_ms"] = strings.Join(x.record.outcomes, ","), milliseconds(x.record.admitTime), milliseconds(x.record.queueTime)
 		fields["first_ms"], fields["sends"] = milliseconds(x.record.timeToHeader), x.record.sends
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -252,7 +252,7 @@
 		"view": h.options.View().Revision, "waited_ms": r.Waited.Milliseconds(),
 	}
 	if t, ok := h.options.View().Target(r.Target); ok {
-		fields["near"] = t.DataCentre == a.request.DataCentre
+		fields["near"], fields["software"] = t.DataCentre == a.request.DataCentre, t.Software
 	}
 	if r.RateLimit != nil {
 		fields["rate_limit"] = *r.RateLimit
