dispatch, ledger, forward: streams go on only at the software that began them

What callers saw: a stream that broke off and went on, within one response or over a caller's second request, was answered 200 and ran to its end, but its text was joined from two software versions with nothing to show it.

Cause: the leader placed a request that continues a stream like a new one. It did not know the versions of targets (the catalog dropped the announced field), nor what had begun the stream. Ruled out on the logs: targets that restart as another version under their id (none did), and take-ups that name no first request (0 of 73).

Now the leader records the origin (service and software version) of each stream that it grants, by request id, until 10 s after the request's deadline. A request that continues a stream is pinned to targets of that origin: by Resumes when a caller takes it up, by the entry's own knowledge within one response. If no target of that version accepts requests, or the origin is unknown, the request is refused at once as not run (503, no Retry-After: waiting does not help), so that the caller starts over; it is never placed by guess. Entries repeat the origins of their streams to a new leader before their first request, so that streams can be taken up after the leader and then an entry are lost. A route with several services selects by the id of the request that began the stream.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -37,9 +37,11 @@
 	targetsByService map[string][]*target
 	buckets          map[string]*bucket
 	// rates holds the rate limits that targets state, by target.
-	rates  map[string]*targetRate
-	grants map[string]*grant
-	queues map[string]*queue // by service
+	rates map[string]*targetRate
+	// origins holds what began the streams that callers may take up.
+	origins origins
+	grants  map[string]*grant
+	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
 	programs *programs
 	medians  map[string]*cachedMedian
@@ -79,6 +81,7 @@
 		targetsByService: make(map[string][]*target),
 		buckets:          make(map[string]*bucket),
 		rates:            make(map[string]*targetRate),
+		origins:          newOrigins(),
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
@@ -113,6 +116,10 @@
 		d.discard(r.ID)
 		return Outcome{ID: r.ID, Refusal: Quarantined, RetryAfter: quarantineDuration}
 	}
+	if refusal := d.resolveOrigin(&r); refusal != "" {
+		d.discard(r.ID)
+		return Outcome{ID: r.ID, Refusal: refusal}
+	}
 	tokenAt := now
 	if !d.discard(r.ID) {
 		wait, ok := d.charge(now, &r)
@@ -232,6 +239,7 @@
 	if w.program != nil {
 		w.program.addWait(now, now-w.queuedAt)
 	}
+	d.recordOrigin(w, t)
 	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expires: w.expires + grantGracePeriod, fingerprint: r.Fingerprint}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
@@ -370,6 +378,7 @@
 		return due
 	})
 	d.programs.sweep(now)
+	d.origins.sweep(now)
 	return d.grantAllWaiting(now)
 }
 
--- /dev/null
+++ b/coord/dispatch/origin.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// originRetention is how long after the deadline of a stream's request the origin of the
+	// stream is known. Callers take up a stream within the time that they gave the first
+	// request.
+	originRetention = 10 * time.Second
+	// originSweepInterval is the time between two removals of expired origins.
+	originSweepInterval = time.Second
+)
+
+// Origin is what began a stream. Only targets of the same service with the same software
+// may continue it, because the events of others do not fit those that the caller has.
+type Origin struct {
+	// Service is the name of the service.
+	Service string `json:"s"`
+	// Software is the version of the target's software; empty if targets state none.
+	Software string `json:"v,omitempty"`
+}
+
+// knownOrigin is the origin of the stream of one request.
+type knownOrigin struct {
+	Origin
+	expires time.Duration
+}
+
+// origins holds the origins of recent streams by request id. A dispatcher knows those that
+// it granted itself and those that it was told.
+type origins struct {
+	byRequest map[string]knownOrigin
+	sweptAt   time.Duration
+}
+
+func newOrigins() origins { return origins{byRequest: make(map[string]knownOrigin)} }
+
+// sweep removes expired origins.
+func (o *origins) sweep(now time.Duration) {
+	if now < o.sweptAt+originSweepInterval {
+		return
+	}
+	o.sweptAt = now
+	for id, known := range o.byRequest {
+		if now > known.expires {
+			delete(o.byRequest, id)
+		}
+	}
+}
+
+// LearnOrigin records the origin of a stream that an earlier dispatcher granted; left is
+// the time until its request's deadline. It changes no origin that is known.
+func (d *Dispatcher) LearnOrigin(now time.Duration, requestID string, origin Origin, left time.Duration) {
+	if _, known := d.origins.byRequest[requestID]; !known {
+		d.origins.byRequest[requestID] = knownOrigin{origin, now + left + originRetention}
+	}
+}
+
+// recordOrigin records that the stream of a request, if it is one, begins at a target.
+func (d *Dispatcher) recordOrigin(w *waitingRequest, t *target) {
+	if w.request.Stream {
+		d.origins.byRequest[w.request.ID] = knownOrigin{Origin{t.Service, t.Software}, w.expires + originRetention}
+	}
+}
+
+// resolveOrigin sets the origin of a request that continues a stream. It returns a refusal
+// if no target may continue the stream, or if nobody knows which ones may.
+func (d *Dispatcher) resolveOrigin(r *Request) Refusal {
+	if !r.Continues {
+		return ""
+	}
+	if r.Origin == nil {
+		known, ok := d.origins.byRequest[r.Resumes]
+		switch {
+		case ok:
+			r.Origin = &known.Origin
+		case d.statesSoftware(r.Service):
+			return OriginUnknown
+		default:
+			return ""
+		}
+	}
+	if r.Origin.Service != r.Service || !d.hasTarget(r) {
+		return SoftwareGone
+	}
+	return ""
+}
+
+// statesSoftware reports whether any target of a service states its software version.
+func (d *Dispatcher) statesSoftware(service string) bool {
+	return slices.ContainsFunc(d.targetsByService[service], func(t *target) bool { return t.Software != "" })
+}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -201,6 +201,15 @@
 	return time.Duration(burstFactor * float64(wait) / max(spareShare, minSpareShare))
 }
 
+// refuseWithoutTarget refuses a pinned request that waits for targets which are gone.
+func (d *Dispatcher) refuseWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
+	o := Outcome{ID: w.request.ID, Refusal: SoftwareGone, Waited: now - w.queuedAt}
+	if w.request.Origin == nil {
+		o.Refusal, o.RetryAfter = NoTarget, d.withJitter(noTargetRetryAfter)
+	}
+	return o
+}
+
 // grantWaiting grants waiting requests of a service in order of rank while targets
 // have capacity, and refuses those that have expired.
 func (d *Dispatcher) grantWaiting(now time.Duration, service string) []Outcome {
@@ -220,7 +229,7 @@
 		}
 		if w.request.pinned() && !d.hasTarget(&w.request) {
 			d.refund(w.request.Organisation)
-			out = append(out, Outcome{ID: w.request.ID, Refusal: NoTarget, RetryAfter: d.withJitter(noTargetRetryAfter), Waited: now - w.queuedAt})
+			out = append(out, d.refuseWithoutTarget(now, w))
 			continue
 		}
 		if !blocked {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -25,6 +25,8 @@
 	Service string
 	// DataCentre is the data centre in which the target runs.
 	DataCentre string
+	// Software is the version of the target's software; empty if it states none.
+	Software string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// KVCapacity is the size of an engine's KV cache in tokens; 0 for plain
@@ -95,6 +97,14 @@
 	// Target is the id of the only target that may get the request, because it continues a
 	// stream there; empty if any target of the service may.
 	Target string `json:"tg,omitempty"`
+	// Stream is set if the response is a stream of events.
+	Stream bool `json:"st,omitempty"`
+	// Continues is set if the caller already has events of the stream.
+	Continues bool `json:"ct,omitempty"`
+	// Origin is what began the stream that the request continues; nil if the sending VM
+	// does not know it. Resumes is the id of the request that began it.
+	Origin  *Origin `json:"og,omitempty"`
+	Resumes string  `json:"rs,omitempty"`
 	// Exclude lists the ids of targets that have already failed to run this request.
 	Exclude []string `json:"x,omitempty"`
 	// DataCentre is the data centre of the sending VM.
@@ -102,10 +112,15 @@
 }
 
 // pinned reports whether only some targets of the service may get the request.
-func (r *Request) pinned() bool { return r.Target != "" }
+func (r *Request) pinned() bool { return r.Target != "" || r.Origin != nil }
 
 // allows reports whether the request may run at a target of its service.
-func (r *Request) allows(t *target) bool { return r.Target == "" || r.Target == t.ID }
+func (r *Request) allows(t *target) bool {
+	if r.Origin != nil && r.Origin.Software != t.Software {
+		return false
+	}
+	return r.Target == "" || r.Target == t.ID
+}
 
 func (r *Request) promptTokens() int64 {
 	total := int64(0)
@@ -123,6 +138,12 @@
 	OverRate Refusal = "over_rate"
 	// NoTarget means that no target of the service is known.
 	NoTarget Refusal = "no_target"
+	// SoftwareGone means that no target with the software that began the stream accepts
+	// requests. The caller has to start over.
+	SoftwareGone Refusal = "software_gone"
+	// OriginUnknown means that it is not known any more which software began the stream.
+	// The caller has to start over.
+	OriginUnknown Refusal = "origin_unknown"
 	// Quarantined means that the request has crashed several targets.
 	Quarantined Refusal = "quarantined"
 	// Overloaded means that no target is expected to be free before the caller's
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
@@ -35,9 +36,19 @@
 	if x.service.Engine != nil {
 		request.Parts, request.OutputTokens = x.call.Parts, x.call.OutputTokens
 	}
+	x.describeStream(&request)
 	return request
 }
 
+// describeStream tells the ledger which stream the request begins or continues.
+func (x *exchange) describeStream(request *ledgerhost.AdmitRequest) {
+	request.Stream = x.route.Kind == routing.Streaming
+	request.Continues = request.Stream && (x.origin != nil || x.call.LastEventID != "")
+	if request.Continues {
+		request.Origin, request.Resumes = x.origin, x.call.Resumes
+	}
+}
+
 // askLedger sends an admission request and measures how long the ledger takes.
 func (x *exchange) askLedger(request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	askedAt := bootclock.Now()
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -21,16 +21,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/coord/routing"
@@ -159,6 +160,10 @@
 	// lastEventID is the id of the latest event that has one.
 	events      int64
 	lastEventID string
+	// granted is the latest grant, and origin is what began the stream of which events
+	// were relayed; nil if none were.
+	granted ledgerhost.AdmitResponse
+	origin  *dispatch.Origin
 	// streamed is set once the whole stream has been relayed.
 	streamed bool
 	history  turnHistory
@@ -219,7 +224,7 @@
 		left = defaultTimeLeft
 	}
 	x.deadline = x.startedAt + min(left, x.route.Timeout())
-	x.service = table.Service(x.route.ChooseService(rand.Float64()))
+	x.service = table.Service(x.route.ChooseService(x.serviceShare()))
 	if x.service == nil {
 		return x.respondError(http.StatusServiceUnavailable, "no_service", unavailableRetryAfter)
 	}
@@ -227,6 +232,23 @@
 	return x.readBody(table.Configuration.Limits)
 }
 
+// serviceShare returns a number from 0 to 1 that selects one of the route's services. All
+// requests for the same stream get the same number, because only the service that began a
+// stream can continue it.
+func (x *exchange) serviceShare() float64 {
+	id := x.call.ID
+	if x.call.LastEventID != "" && x.call.Resumes != "" {
+		id = x.call.Resumes
+	}
+	return float64(xxhash.Sum64String(id)>>shareUnusedBits) / (1 << shareBits)
+}
+
+const (
+	// shareBits is the number of bits that a float64 represents exactly.
+	shareBits       = 53
+	shareUnusedBits = 64 - shareBits
+)
+
 // refusePermanently refuses with a status that callers do not retry, but only if the
 // configuration is known to be current. Otherwise the refusal is temporary.
 func (x *exchange) refusePermanently(status int, reason string) bool {
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -33,7 +33,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last"), PreviousTurn: h.Get("Previous")}
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last"), PreviousTurn: h.Get("Previous"), Resumes: h.Get("Resumes")}
 	if c.Program != "" {
 		c.TokenBudget, c.OutputTokens = 1000, 100
 	}
@@ -78,6 +78,8 @@
 	// rateLimit is the rate limit that grants state, and rates are the reported ones.
 	rateLimit *float64
 	rates     []ledgerhost.TargetRate
+	// software is the software version of all granted targets.
+	software string
 	// refuseResumes is set if streams may not be resumed at their target.
 	refuseResumes bool
 }
@@ -103,7 +105,7 @@
 	}
 	address := l.targets[0]
 	l.targets = l.targets[1:]
-	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit}, nil
+	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit, Software: l.software}, nil
 }
 
 func (l *testLedger) Confirm(ctx context.Context, _ ledger.Reserve) error {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -129,6 +129,7 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
+	x.granted = grant
 	out := x.newTargetRequest(grant)
 	x.record.sends++
 	if err = c.send(out); errors.Is(err, errNotSent) {
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -106,6 +106,9 @@
 		if x.isDuplicate(e) {
 			continue
 		}
+		if x.origin == nil {
+			x.origin = &dispatch.Origin{Service: x.service.Name, Software: x.granted.Software}
+		}
 		x.recordOutput(e)
 		if e.id != "" {
 			x.lastEventID = e.id
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -71,6 +71,8 @@
 	members []string
 	// rates are the rate limits of targets that the leader must know.
 	rates knownRates
+	// origins are those of the streams of this entry.
+	origins knownOrigins
 	// searches counts the searches; offset makes entries ask different store VMs.
 	searches, offset int
 	// unavailableSince is the time of the first failure since a store VM last decided
@@ -86,7 +88,7 @@
 
 // NewClient returns a client. Run must be called to send its done reports.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), rates: make(knownRates), offset: rand.IntN(math.MaxInt16)}
+	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), rates: make(knownRates), origins: knownOrigins{byRequest: make(map[string]originUntil)}, offset: rand.IntN(math.MaxInt16)}
 }
 
 // Admit requests a target for r and retries until a store VM decides about it. It
@@ -104,7 +106,7 @@
 		r.TimeLeft = timeLimit - time.Since(start)
 		response, err := l.admit(ctx, r)
 		if err == nil {
-			c.markAvailable(l, response)
+			c.recordResponse(l, r, response)
 			return response, nil
 		}
 		if ctx.Err() != nil {
@@ -186,14 +188,20 @@
 	return min(timeLeft, electionWait)
 }
 
-// markAvailable records that a store VM admits requests and which rate limit it knows, and
-// logs the end of an outage.
-func (c *Client) markAvailable(l *clientLink, response AdmitResponse) {
+// recordResponse records what a later leader must know of a granted request, and that a
+// store VM admits requests.
+func (c *Client) recordResponse(l *clientLink, r AdmitRequest, response AdmitResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.RateLimit != nil {
 		c.rates.record(response.Target, response.RateLimit)
 	}
+	c.origins.record(r, response)
+	c.markAvailable(l)
+}
+
+// markAvailable logs the end of an outage. The caller holds c.mu.
+func (c *Client) markAvailable(l *clientLink) {
 	if c.unavailableSince.IsZero() {
 		return
 	}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -182,7 +182,7 @@
 	view := h.options.View()
 	targets := make([]dispatch.Target, 0, len(view.Targets))
 	for _, t := range view.Targets {
-		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Slots: t.Slots, Draining: t.State != catalog.Ready}
+		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: t.State != catalog.Ready}
 		if view.Table != nil {
 			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
@@ -257,8 +257,8 @@
 	if r.RateLimit != nil {
 		fields["rate_limit"] = *r.RateLimit
 	}
-	if a.request.Target != "" {
-		fields["resumed"] = true
+	if a.request.Continues {
+		fields["resumes"], fields["same_target"] = a.request.Resumes, a.request.Target != ""
 	}
 	if r.Target != "" {
 		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
@@ -284,7 +284,7 @@
 func (h *Host) response(o dispatch.Outcome) AdmitResponse {
 	r := AdmitResponse{Target: o.Target, Refusal: o.Refusal, RetryAfter: o.RetryAfter, Waited: o.Waited, Cached: o.Cached, Reason: o.Reason}
 	if t, ok := h.options.View().Target(o.Target); ok {
-		r.Address = t.Address
+		r.Address, r.Software = t.Address, t.Software
 	}
 	if rate, ok := h.dispatcher.TargetRate(o.Target); ok {
 		r.RateLimit = &rate
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -86,7 +86,7 @@
 		Dial: func(_ context.Context, address string) (rpc.Caller, error) { return pool.CallerFor(address), nil },
 	})
 	require.NoError(t, err)
-	view := &registry.View{Revision: 1, Targets: []catalog.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", Slots: 1, State: catalog.Ready}}}
+	view := &registry.View{Revision: 1, Targets: []catalog.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", Software: "v1", Slots: 1, State: catalog.Ready}}}
 	s.host = New(Options{
 		Quorum: s.quorum, Machine: machine, View: func() *registry.View { return view }, Stores: s.historyStores, Copies: 2, Copier: s,
 		Log: discardLogger(), Metrics: gometrics.NewRegistry(),
@@ -181,6 +181,8 @@
 	limit := 0.8
 	c.ReportRate(TargetRate{Target: "t", PerSecond: &limit, Request: "a"})
 	s.stop()
+	// The connection of the entry stays open until the lease has expired.
+	time.Sleep(leaseDuration)
 	s = startStore(t, t.TempDir())
 	address.Store(s.address)
 	start := time.Now()
@@ -192,6 +194,40 @@
 	assert.Greater(t, time.Since(start), time.Second, "the new leader starts without saved-up rate")
 }
 
+// TestNewLeaderLearnsTheOrigins guards against streams that can't be taken up after a change
+// of leader, and against a new leader that places them at any version.
+func TestNewLeaderLearnsTheOrigins(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	var address atomic.Value
+	address.Store(s.address)
+	addresses := func() []string { return []string{address.Load().(string)} }
+	granting, other := startClient(t, addresses), startClient(t, addresses)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first := turnRequest("first", 1000, 10)
+	first.Stream = true
+	response, err := granting.Admit(ctx, first)
+	require.NoError(t, err)
+	assert.Equal(t, "v1", response.Software)
+	s.stop()
+	// The connection of the entry stays open until the lease has expired.
+	time.Sleep(leaseDuration)
+	s = startStore(t, t.TempDir())
+	address.Store(s.address)
+	again := turnRequest("again", 1000, 10)
+	again.Stream, again.Continues, again.Resumes = true, true, "first"
+	response, err = other.Admit(ctx, again)
+	require.NoError(t, err)
+	assert.Equal(t, dispatch.OriginUnknown, response.Refusal, "the entry that knows has not been heard yet")
+	_, err = granting.Admit(ctx, turnRequest("next", 1000, 10))
+	require.NoError(t, err)
+	again.ID, again.Reserve.Request = "third", "third"
+	response, err = other.Admit(ctx, again)
+	require.NoError(t, err)
+	assert.Empty(t, response.Refusal)
+	assert.Equal(t, "t", response.Target)
+}
+
 // TestMissingLeaderIsReportedQuickly guards against callers that wait until their time
 // runs out although no store VM has admitted requests for a long time.
 func TestMissingLeaderIsReportedQuickly(t *testing.T) {
@@ -224,7 +260,8 @@
 func TestMessagesKeepTheirFields(t *testing.T) {
 	sent := turnRequest("a", 100, 60)
 	sent.Attempt, sent.Organisation, sent.Exclude, sent.PreviousTurn = 2, "o", []string{"x"}, "before"
-	sent.Target = "t"
+	sent.Target, sent.Stream, sent.Continues, sent.Resumes = "t", true, true, "first"
+	sent.Origin = &dispatch.Origin{Service: "s", Software: "v1"}
 	sent.Parts = []dispatch.Part{{ID: "p", Tokens: 7}}
 	sent.Limits = dispatch.Limits{Version: 3, RatePerSecond: 1.5, Burst: 2}
 	message, err := encode(kindAdmit, &sent)
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -185,6 +185,14 @@
 			return err
 		}
 		h.recordRates(rates)
+	case kindOrigins:
+		var origins []streamOrigin
+		if err := compact.Unmarshal(payload, &origins); err != nil {
+			return err
+		}
+		for _, o := range origins {
+			h.dispatcher.LearnOrigin(bootclock.Now(), o.Request, o.Origin, o.Left)
+		}
 	}
 	return nil
 }
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -50,6 +50,8 @@
 	kindKeepOutcome
 	// kindTargetRates reports rate limits that targets have stated.
 	kindTargetRates
+	// kindOrigins repeats the origins of streams to a new leader.
+	kindOrigins
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -84,6 +86,8 @@
 	// Cached is the number of prompt tokens that the target is expected to have
 	// cached.
 	Cached int64
+	// Software is the version of the target's software.
+	Software string
 	// Reason explains the choice of the target, for logs.
 	Reason string
 	// Holders are the storages that hold the record of the previous turn.
@@ -104,6 +108,15 @@
 	Request string
 }
 
+// streamOrigin tells a new leader what began a stream.
+type streamOrigin struct {
+	// Request is the id of the request that began the stream.
+	Request string
+	Origin  dispatch.Origin
+	// Left is the time until the deadline of the request.
+	Left time.Duration
+}
+
 // reservationOutcome reports the outcome of a reservation.
 type reservationOutcome struct {
 	// ID is the id of the request.
--- /dev/null
+++ b/server/ledger/origins.go
@@ -0,0 +1,76 @@
+package ledger
+
+import (
+	"maps"
+	"time"
+
+	"hemlockvale.dev/coord/dispatch"
+)
+
+// originSweepInterval is the time between two removals of expired origins.
+const originSweepInterval = time.Second
+
+// knownOrigins holds what began the streams of an entry, so that the entry can repeat it
+// to a new leader, which knows nothing of earlier grants. It is not safe for concurrent
+// use.
+type knownOrigins struct {
+	byRequest map[string]originUntil
+	sweptAt   time.Time
+}
+
+// originUntil is the origin of a stream with the deadline of its request.
+type originUntil struct {
+	dispatch.Origin
+	deadline time.Time
+}
+
+// record stores the origin of a request that was granted, if the response is a stream.
+func (k *knownOrigins) record(r AdmitRequest, response AdmitResponse) {
+	if !r.Stream || response.Refusal != "" {
+		return
+	}
+	k.sweep()
+	k.byRequest[r.ID] = originUntil{dispatch.Origin{Service: r.Service, Software: response.Software}, time.Now().Add(r.TimeLeft)}
+}
+
+// sweep removes the origins of requests whose deadline has passed.
+func (k *knownOrigins) sweep() {
+	now := time.Now()
+	if now.Before(k.sweptAt.Add(originSweepInterval)) {
+		return
+	}
+	k.sweptAt = now
+	maps.DeleteFunc(k.byRequest, func(_ string, o originUntil) bool { return now.After(o.deadline) })
+}
+
+// messages returns the origins for a new leader, in lists that fit into one message each.
+func (k *knownOrigins) messages() [][]streamOrigin {
+	var lists [][]streamOrigin
+	for id, o := range k.byRequest {
+		if len(lists) == 0 || len(lists[len(lists)-1]) == maxOriginsPerMessage {
+			lists = append(lists, nil)
+		}
+		last := &lists[len(lists)-1]
+		*last = append(*last, streamOrigin{Request: id, Origin: o.Origin, Left: max(0, time.Until(o.deadline))})
+	}
+	return lists
+}
+
+// maxOriginsPerMessage keeps messages of origins below maxMessageBytes.
+const maxOriginsPerMessage = 1000
+
+// introduce tells a new leader what this entry knows of targets and streams. It must be
+// sent before the first request on the connection. The caller holds c.mu.
+func (c *Client) introduce(l *clientLink) error {
+	if reports := c.rates.reports(); len(reports) > 0 {
+		if err := l.send(kindTargetRates, reports); err != nil {
+			return err
+		}
+	}
+	for _, origins := range c.origins.messages() {
+		if err := l.send(kindOrigins, origins); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/server/ledger/rates.go
+++ b/server/ledger/rates.go
@@ -60,12 +60,3 @@
 		c.connectionFailed(l, err)
 	}
 }
-
-// repeatRates sends the known limits over a new connection.
-func (c *Client) repeatRates(l *clientLink) error {
-	reports := c.rates.reports()
-	if len(reports) == 0 {
-		return nil
-	}
-	return l.send(kindTargetRates, reports)
-}
--- a/server/ledger/search.go
+++ b/server/ledger/search.go
@@ -145,7 +145,7 @@
 	if found == nil {
 		return
 	}
-	if err := c.repeatRates(found); err != nil {
+	if err := c.introduce(found); err != nil {
 		found.close(err)
 		c.markUnavailable(found.address, err)
 		return
