graceful: a planned stop answers each request that the process has read

Found while looking for the failures that operators of similar systems report. What callers saw: during a planned stop under load, a request was handled (and could run at a target), but its connection was closed without an answer.

Cause: http.Server counts a connection as idle until the head of its next request has been read completely, and SetKeepAlivesEnabled(false) and Shutdown close idle connections in that moment; the server then handles a request whose connection is gone.

Now idle connections end by their read deadline instead of being closed: a request that has arrived is read, which clears the deadline, and answered with Connection: close.

--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -68,7 +68,7 @@
 	stop()
 	// The requests of operators must end before the quorum is closed, because they append
 	// commands to its log.
-	err = p.http.Shutdown(context.Background())
+	err = p.conns.Stop(context.Background())
 	log.WithField("event", "stopped").Info("planned stop complete")
 	return errors.Join(failure, err, q.Close(), p.close())
 }
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -15,6 +15,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/server/graceful"
 	"hemlockvale.dev/server/metrics"
 	"hemlockvale.dev/server/rpc"
 	"hemlockvale.dev/server/settings"
@@ -52,6 +53,7 @@
 	rpc      *rpc.Server
 	router   *mux.Router
 	http     *http.Server
+	conns    *graceful.Conns
 	tasks    taskGroup
 
 	rpcListener, httpListener net.Listener
@@ -87,6 +89,7 @@
 	}
 	p.router.Handle("/metrics", metrics.Handler(p.metrics)).Methods(http.MethodGet)
 	p.http = &http.Server{Handler: p.router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	p.conns = graceful.Track(p.http)
 	return p, nil
 }
 
@@ -120,7 +123,7 @@
 
 // close waits for the HTTP requests in progress and closes all listeners and connections.
 func (p *process) close() error {
-	shutdown := p.http.Shutdown(context.Background())
+	shutdown := p.conns.Stop(context.Background())
 	return errors.Join(shutdown, p.rpc.Close(), p.pool.Close())
 }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/server/forward"
+	"hemlockvale.dev/server/graceful"
 	"hemlockvale.dev/server/metrics"
 	"hemlockvale.dev/server/quorum"
 	"hemlockvale.dev/server/registry"
@@ -151,18 +152,30 @@
 
 // serve starts an HTTP server on an address. name identifies the address in errors.
 func (p *process) serve(name, address string, h http.Handler) (*http.Server, error) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return s, p.start(name, address, s)
+}
+
+// serveGracefully is serve for a server that can be stopped without cutting requests off.
+func (p *process) serveGracefully(name, address string, h http.Handler) (*graceful.Conns, error) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	conns := graceful.Track(s)
+	return conns, p.start(name, address, s)
+}
+
+// start serves on an address until the server is closed.
+func (p *process) start(name, address string, s *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return fmt.Errorf("%s: %w", name, err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	p.startTask(name, func() error {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	return s, nil
+	return nil
 }
 
 // serveMetrics registers the metrics of the process and serves all metrics if the
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/server/forward"
+	"hemlockvale.dev/server/graceful"
 	"hemlockvale.dev/server/history"
 	"hemlockvale.dev/server/ledger"
 	"hemlockvale.dev/server/periodic"
@@ -57,7 +58,7 @@
 	defer stop()
 	go reg.Run(taskCtx)
 	go q.MaintainMembership(taskCtx, quorum.MembershipPolicy{MinVoters: p.minVoters(), KnownAddresses: func() []string { return append(q.Addresses(), p.seeds()...) }})
-	servers := make([]*http.Server, 0, 2)
+	servers := make([]*graceful.Conns, 0, 2)
 	for _, s := range []struct {
 		name, address string
 		handler       http.Handler
@@ -65,7 +66,7 @@
 		{"control.address", p.Settings.Control.Address, p.Adapter.Control(reg, p.Log)},
 		{"control.directory_address", p.Settings.Control.DirectoryAddress, p.Adapter.Directory(reg, p.Log)},
 	} {
-		server, err := p.serve(s.name, s.address, s.handler)
+		server, err := p.serveGracefully(s.name, s.address, s.handler)
 		if err != nil {
 			return errors.Join(err, q.Close())
 		}
@@ -76,8 +77,10 @@
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, server := range servers {
-		// A client whose request does not end in time retries it at another control VM.
-		_ = server.Shutdown(shutdownCtx)
+		if err := server.Stop(shutdownCtx); err != nil {
+			// A client whose request does not end in time retries it at another control VM.
+			p.Log.WithField("event", "stop_incomplete").WithError(err).Warn("requests were still in progress")
+		}
 	}
 	stop()
 	return errors.Join(failure, q.Close())
@@ -217,7 +220,7 @@
 		DataCentre: p.Settings.VM.DataCentre, Log: p.Log, Metrics: p.metrics,
 	})
 	go e.Run(taskCtx)
-	callers, err := p.serve("callers.address", p.Settings.Callers.Address, e)
+	callers, err := p.serveGracefully("callers.address", p.Settings.Callers.Address, e)
 	if err != nil {
 		return err
 	}
@@ -234,13 +237,12 @@
 
 // drain serves callers until no address list that names this entry is in use, and then
 // closes connections as they become idle, up to the end of the grace period.
-func (p *process) drain(e *forward.Entry, callers *http.Server, c settings.Callers) error {
+func (p *process) drain(e *forward.Entry, callers *graceful.Conns, c settings.Callers) error {
 	deadline := time.Now().Add(c.StopGrace() - stopMargin)
 	time.Sleep(min(addressListLifetimes*c.AddressLifetime()+directoryDelay, c.StopGrace()/2))
-	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Stop(ctx); err != nil {
 		p.Log.WithFields(logrus.Fields{"event": "stop_incomplete", "active": e.Active()}).WithError(err).Warn("requests were still in progress at the end of the grace period")
 	}
 	return nil
