--- /dev/null
+++ b/coord/dispatch/place.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"hemlockvale.dev/coord/placement"
+)
+
+// place grants the request if a target has capacity for it.
+func (d *Dispatcher) place(now time.Duration, w *waitingRequest) (Outcome, bool) {
+	r := &w.request
+	prompt := r.promptTokens()
+	need := prompt + r.OutputTokens
+	decision := d.choose(now, r, prompt, need)
+	if decision.Action != placement.Dispatch {
+		return Outcome{}, false
+	}
+	t := d.targets[decision.Target]
+	t.outstanding++
+	t.tokens += need
+	if t.rate != nil {
+		t.rate.bucket.tokens--
+	}
+	if t.cache != nil {
+		t.cache.recordPrompt(r.Parts)
+	}
+	if w.program != nil {
+		w.program.addWait(now, now-w.queuedAt)
+	}
+	d.recordOrigin(w, t)
+	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expires: w.expires + grantGracePeriod, fingerprint: r.Fingerprint}
+	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
+}
+
+// choose makes the placement decision among the targets of the request's best class
+// that have capacity. Targets of a worse class are not considered, even if all targets
+// of the best class are busy: the request waits for a healthy target instead of losing
+// time at one that is probably down.
+func (d *Dispatcher) choose(now time.Duration, r *Request, prompt, need int64) placement.Decision {
+	best := d.bestClass(now, r)
+	median := d.median(now, r.Service)
+	d.candidates = d.candidates[:0]
+	for _, t := range d.targetsByService[r.Service] {
+		if !r.allows(t) || t.classFor(now, r) != best || !t.hasCapacity(now, need) {
+			continue
+		}
+		c := t.candidate(r)
+		c.DistanceTokens += t.stats.penalty(now, median)
+		d.candidates = append(d.candidates, c)
+	}
+	q := placement.Request{Organisation: r.Organisation, PromptTokens: prompt, Priority: r.Priority}
+	return placement.Place(d.policy, q, d.candidates, d.random.Uint64())
+}
+
+// bestClass returns the best class of target that the service has for a request.
+func (d *Dispatcher) bestClass(now time.Duration, r *Request) targetClass {
+	best := unusable
+	for _, t := range d.targetsByService[r.Service] {
+		if r.allows(t) {
+			best = min(best, t.classFor(now, r))
+		}
+	}
+	return best
+}
+
+// hasTarget reports whether a request may wait for a target: any target of its service, or
+// one that accepts requests if the request is pinned.
+func (d *Dispatcher) hasTarget(r *Request) bool {
+	if !r.pinned() {
+		return len(d.targetsByService[r.Service]) > 0
+	}
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
+}
+
+// median returns the median unit time of a service's targets, which is recomputed
+// every medianValidity.
+func (d *Dispatcher) median(now time.Duration, service string) float64 {
+	m := d.medians[service]
+	if m == nil {
+		m = &cachedMedian{}
+		d.medians[service] = m
+	}
+	if now >= m.validUntil {
+		m.value = medianUnitTime(d.targetsByService[service])
+		m.validUntil = now + medianValidity
+	}
+	return m.value
+}
+
+// cachedMedian is a median with the time until which it is valid.
+type cachedMedian struct {
+	value      float64
+	validUntil time.Duration
+}
+
+// candidate describes the target to the placement policy.
+func (t *target) candidate(r *Request) placement.Candidate {
+	c := placement.Candidate{ID: t.ID, DataCentre: t.DataCentre, Running: t.outstanding, MaxBatch: max(t.Slots, 1), KVUsed: t.tokens, KVCapacity: t.KVCapacity}
+	if t.cache != nil {
+		c.CachedTokens = t.cache.cachedTokens(r.Parts)
+	}
+	if t.DataCentre != r.DataCentre {
+		c.DistanceTokens = distanceTokens
+	}
+	return c
+}
--- /dev/null
+++ b/server/registry/reports.go
@@ -0,0 +1,94 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/coord/history"
+)
+
+// recordReport stores the report of a VM. A report of an earlier incarnation is
+// ignored. An incarnation that has reported that it is draining stays draining.
+func (g *Registry) recordReport(vm VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	previous := g.reports[vm.Node]
+	if previous != nil && previous.Started > vm.Started {
+		return
+	}
+	if previous == nil || previous.Started != vm.Started || previous.Draining != vm.Draining || previous.RPCAddress != vm.RPCAddress {
+		g.options.Log.WithFields(logrus.Fields{"event": "vm_seen", "node": vm.Node, "vm_role": vm.Role, "address": vm.RPCAddress, "draining": vm.Draining, "started": vm.Started}).Info("VM reported")
+	}
+	if previous != nil && previous.Started == vm.Started && previous.Draining {
+		vm.Draining = true
+	}
+	if vm.Role == "store" && g.firstStoreReport.IsZero() {
+		g.firstStoreReport = time.Now()
+	}
+	g.reports[vm.Node] = &vmReport{VM: vm, receivedAt: time.Now()}
+}
+
+// liveVMs returns the VMs with a role that reported recently, ordered by id.
+func (g *Registry) liveVMs(role string) []VM {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	timeout := missedWatches*watchTimeoutFor(len(g.reports)) + reportMargin
+	var vms []VM
+	for _, node := range slices.Sorted(maps.Keys(g.reports)) {
+		report := g.reports[node]
+		if report.Role == role && time.Since(report.receivedAt) < timeout {
+			vms = append(vms, report.VM)
+		}
+	}
+	return vms
+}
+
+// liveStores returns the address that most store VMs report as the ledger's leader, and
+// the addresses of the store VMs. It only considers VMs that reported recently.
+func (g *Registry) liveStores() (leader string, addresses []string) {
+	reportedLeaders := make(map[string]int)
+	for _, vm := range g.liveVMs("store") {
+		addresses = append(addresses, vm.RPCAddress)
+		if vm.StoreLeader != "" {
+			reportedLeaders[vm.StoreLeader]++
+		}
+	}
+	for _, address := range slices.Sorted(maps.Keys(reportedLeaders)) {
+		if leader == "" || reportedLeaders[address] > reportedLeaders[leader] {
+			leader = address
+		}
+	}
+	return leader, addresses
+}
+
+// historyStores returns the store VMs that serve histories and reported recently.
+func (g *Registry) historyStores() []history.Store {
+	retiring := make(map[string]bool)
+	g.options.Machine.read(func(s *catalog.State) {
+		for node := range s.Retirements {
+			retiring[node] = true
+		}
+	})
+	var stores []history.Store
+	for _, vm := range g.liveVMs("store") {
+		if vm.Storage != "" {
+			stores = append(stores, history.Store{Storage: vm.Storage, Address: vm.HistoryAddress, RPCAddress: vm.RPCAddress, DataCentre: vm.DataCentre, Retiring: retiring[vm.Node]})
+		}
+	}
+	return stores
+}
+
+// controlAddresses returns the addresses of the quorum's members and of the seeds.
+func (g *Registry) controlAddresses() []string {
+	members := g.options.Quorum.Addresses()
+	for _, seed := range g.options.Seeds() {
+		if !slices.Contains(members, seed) {
+			members = append(members, seed)
+		}
+	}
+	return members
+}
