--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -175,6 +175,10 @@
 		x.entry.options.Log.WithFields(logrus.Fields{"event": "response_header_invalid", "request": x.call.ID, "target": grant.Target}).WithError(info.Err).Warn("a header of the target's response cannot be decoded")
 		return
 	}
+	if info.RateLimit == nil && !info.Signed {
+		// Only the target itself can state that it has no limit.
+		return
+	}
 	x.record.rateLimit = info.RateLimit
 	known := grant.RateLimit
 	if (known == nil) != (info.RateLimit == nil) || known != nil && *known != *info.RateLimit {
