dispatch: doubt the origins of a target whose software changes under its id

Streams that were granted there may have begun with either version, so their origins are dropped (taking them up is refused as origin_unknown), and an origin that an entry repeats to a new leader counts only if it agrees with the target's version. TestSoftwareChangesUnderAnID fails without this. What remains: a stream that begins and breaks off before that heartbeat.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -99,6 +99,8 @@
 		n := d.targets[t.ID]
 		if n == nil || n.Service != t.Service || n.KVCapacity != t.KVCapacity {
 			n = newTarget(t)
+		} else if n.Software != t.Software {
+			d.origins.forgetTarget(t.ID)
 		}
 		n.Target = t
 		next[t.ID] = n
--- a/coord/dispatch/origin.go
+++ b/coord/dispatch/origin.go
@@ -26,6 +26,8 @@
 // knownOrigin is the origin of the stream of one request.
 type knownOrigin struct {
 	Origin
+	// target is the id of the target that began the stream.
+	target  string
 	expires time.Duration
 }
 
@@ -51,18 +53,33 @@
 	}
 }
 
-// LearnOrigin records the origin of a stream that an earlier dispatcher granted; left is
-// the time until its request's deadline. It changes no origin that is known.
-func (d *Dispatcher) LearnOrigin(now time.Duration, requestID string, origin Origin, left time.Duration) {
+// forgetTarget drops the origins of streams that began at a target whose software has
+// changed under its id. The change is known some time after it, so the streams may have
+// begun with either version.
+func (o *origins) forgetTarget(id string) {
+	for request, known := range o.byRequest {
+		if known.target == id {
+			delete(o.byRequest, request)
+		}
+	}
+}
+
+// LearnOrigin records the origin of a stream that an earlier dispatcher granted at a
+// target; left is the time until its request's deadline. It changes no origin that is
+// known, and ignores one that does not agree with the software of the target.
+func (d *Dispatcher) LearnOrigin(now time.Duration, requestID, targetID string, origin Origin, left time.Duration) {
+	if t := d.targets[targetID]; t != nil && t.Software != origin.Software {
+		return
+	}
 	if _, known := d.origins.byRequest[requestID]; !known {
-		d.origins.byRequest[requestID] = knownOrigin{origin, now + left + originRetention}
+		d.origins.byRequest[requestID] = knownOrigin{origin, targetID, now + left + originRetention}
 	}
 }
 
 // recordOrigin records that the stream of a request, if it is one, begins at a target.
 func (d *Dispatcher) recordOrigin(w *waitingRequest, t *target) {
 	if w.request.Stream {
-		d.origins.byRequest[w.request.ID] = knownOrigin{Origin{t.Service, t.Software}, w.expires + originRetention}
+		d.origins.byRequest[w.request.ID] = knownOrigin{Origin{t.Service, t.Software}, t.ID, w.expires + originRetention}
 	}
 }
 
--- a/coord/dispatch/origin_test.go
+++ b/coord/dispatch/origin_test.go
@@ -55,7 +55,7 @@
 	d := New(0, 1)
 	d.SetTargets(0, targetsWithSoftware("v1", "v2"))
 	origin := Origin{Service: "s", Software: "v1"}
-	d.LearnOrigin(0, "first", origin, time.Second)
+	d.LearnOrigin(0, "first", "gone", origin, time.Second)
 	for i := range 2 {
 		r := streamRequest(fmt.Sprint(i))
 		r.Target = "t0"
@@ -78,8 +78,8 @@
 	assert.Equal(t, Outcome{ID: "again", Refusal: OriginUnknown}, d.Admit(0, takeUp("again", "unknown")))
 	assert.Equal(t, OriginUnknown, d.Admit(0, takeUp("again", "")).Refusal, "the caller does not name the first request")
 
-	d.LearnOrigin(0, "first", Origin{Service: "s", Software: "v1"}, time.Second)
-	d.LearnOrigin(0, "first", Origin{Service: "s", Software: "v2"}, time.Second)
+	d.LearnOrigin(0, "first", "gone", Origin{Service: "s", Software: "v1"}, time.Second)
+	d.LearnOrigin(0, "first", "gone", Origin{Service: "s", Software: "v2"}, time.Second)
 	other := takeUp("again", "first")
 	other.Service = "other"
 	assert.Equal(t, SoftwareGone, d.Admit(0, other).Refusal, "another service")
@@ -112,3 +112,23 @@
 	d.Tick(r.TimeLeft + originRetention + originSweepInterval)
 	assert.Equal(t, OriginUnknown, d.Admit(0, takeUp("late", "first")).Refusal)
 }
+
+// TestSoftwareChangesUnderAnID guards against a stream that is taken up at the version that
+// its target had before it restarted under the same id.
+func TestSoftwareChangesUnderAnID(t *testing.T) {
+	d := New(0, 1)
+	ts := targetsWithSoftware("v1", "v1")
+	d.SetTargets(0, ts)
+	first := streamRequest("first")
+	first.Target = "t0"
+	require.Equal(t, "t0", d.Admit(0, first).Target)
+	second := streamRequest("second")
+	second.Target = "t1"
+	require.Equal(t, "t1", d.Admit(0, second).Target)
+	ts[0].Software = "v2"
+	d.SetTargets(0, ts)
+	assert.Equal(t, OriginUnknown, d.Admit(0, takeUp("a", "first")).Refusal)
+	assert.Equal(t, "t1", d.Admit(0, takeUp("b", "second")).Target)
+	d.LearnOrigin(0, "third", "t0", Origin{Service: "s", Software: "v1"}, time.Second)
+	assert.Equal(t, OriginUnknown, d.Admit(0, takeUp("c", "third")).Refusal)
+}
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -191,7 +191,7 @@
 			return err
 		}
 		for _, o := range origins {
-			h.dispatcher.LearnOrigin(bootclock.Now(), o.Request, o.Origin, o.Left)
+			h.dispatcher.LearnOrigin(bootclock.Now(), o.Request, o.Target, o.Origin, o.Left)
 		}
 	}
 	return nil
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -112,7 +112,9 @@
 type streamOrigin struct {
 	// Request is the id of the request that began the stream.
 	Request string
-	Origin  dispatch.Origin
+	// Target is the id of the target that began it.
+	Target string
+	Origin dispatch.Origin
 	// Left is the time until the deadline of the request.
 	Left time.Duration
 }
--- a/server/ledger/origins.go
+++ b/server/ledger/origins.go
@@ -21,6 +21,7 @@
 // originUntil is the origin of a stream with the deadline of its request.
 type originUntil struct {
 	dispatch.Origin
+	target   string
 	deadline time.Time
 }
 
@@ -30,7 +31,7 @@
 		return
 	}
 	k.sweep()
-	k.byRequest[r.ID] = originUntil{dispatch.Origin{Service: r.Service, Software: response.Software}, time.Now().Add(r.TimeLeft)}
+	k.byRequest[r.ID] = originUntil{dispatch.Origin{Service: r.Service, Software: response.Software}, response.Target, time.Now().Add(r.TimeLeft)}
 }
 
 // sweep removes the origins of requests whose deadline has passed.
@@ -51,7 +52,7 @@
 			lists = append(lists, nil)
 		}
 		last := &lists[len(lists)-1]
-		*last = append(*last, streamOrigin{Request: id, Origin: o.Origin, Left: max(0, time.Until(o.deadline))})
+		*last = append(*last, streamOrigin{Request: id, Target: o.target, Origin: o.Origin, Left: max(0, time.Until(o.deadline))})
 	}
 	return lists
 }
