forward: a request body that stalls ends at the request's deadline

Found while looking for the failures that operators of similar systems report. A caller that sends its body a byte now and then held a connection and a goroutine of the entry without end: nothing bounded the time of the body. It is now read until the request's deadline and then answered 408, which is true: the request has not run.

Evidence: TestEndlessRequests/stalled_body did not end within 30 s before, ends after 2.0 s now (route's timeout 2 s). Endless heads and full-speed bodies were bounded already (431, 413).

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -292,18 +293,37 @@
 	if x.request.ContentLength > limit {
 		return x.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	body, err := x.readBodyInTime(limit)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return x.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return x.respondError(http.StatusRequestTimeout, "body_too_slow", 0)
+	case err != nil:
 		return x.respondError(http.StatusBadRequest, "body_incomplete", 0)
 	}
 	x.body = body
 	return true
 }
 
+// readBodyInTime reads a body of at most limit bytes until the request's deadline.
+func (x *exchange) readBodyInTime(limit int64) ([]byte, error) {
+	if x.request.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(x.writer)
+	if err := controller.SetReadDeadline(time.Now().Add(x.timeLeft())); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	// The server itself reads on to notice a caller that disconnects.
+	return body, controller.SetReadDeadline(time.Time{})
+}
+
 // headerBytes returns the size of the header fields as HTTP/1.1 encodes them.
 func headerBytes(h http.Header) int64 {
 	total := 0
