--- a/coord/dispatch/targetrate.go
+++ b/coord/dispatch/targetrate.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	// targetBurst is the time for which a target's rate limit may be saved up: enough for
-	// the interval between two calls of Tick, and short of what a target in need of a limit
-	// would notice as a burst.
+	// targetBurst is the time for which a target's unused rate is saved up. It covers the
+	// interval between two calls of Tick.
 	targetBurst = 200 * time.Millisecond
 	// minTargetRate is the rate in requests per second at which a target with a lower limit
 	// still gets requests, because only its responses show that the limit has ended.
@@ -24,8 +23,8 @@
 	bucket   bucket
 }
 
-// newTargetRate returns the rate of a target that may get its first request after the
-// interval between two requests.
+// newTargetRate returns a rate with an empty bucket: an earlier leader may have granted all
+// that the limit allowed so far.
 func newTargetRate(now time.Duration) *targetRate {
 	return &targetRate{bucket: bucket{refilledAt: now, startedAt: now}}
 }
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -66,7 +67,7 @@
 	request.Target = broken.Target
 	response, err := x.askLedger(request)
 	if err != nil {
-		x.record.targetErr = err
+		x.record.targetErr = errors.Join(x.record.targetErr, err)
 		return response, false
 	}
 	return response, response.Refusal == "" && response.Address != ""
