ledger, forward: entries forget a target's limit when its responses no longer state it

(1) Leases lapse for 0.2 to 0.9 s at a time, so little is served whatever the limits are. (2) The leader learns that a limit has ended, and each entry that connects again restores it: an entry forgot a limit only if its own response had to report the end. With the leader up to date nobody told it.

Entries now observe each response: one without a limit ends the limit that the entry knows, if the request was granted after that was last confirmed (TestEndedRatesAreNotRepeated; the former code kept the limit for a minute). Reports to the leader are sent as before.

--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,6 +55,7 @@
 func (x *exchange) askLedger(request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	askedAt := bootclock.Now()
 	response, err := x.entry.options.Ledger.Admit(x.ctx, request)
+	x.grantedAt = time.Now()
 	x.record.admitTime += bootclock.Now() - askedAt
 	x.record.queueTime += response.Waited
 	return response, err
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -72,8 +72,8 @@
 	Confirm(ctx context.Context, r ledger.Reserve) error
 	// Done queues a done report for the ledger. It never blocks.
 	Done(r ledgerhost.DoneReport)
-	// ReportRate tells the ledger what a target's response says about its rate limit.
-	ReportRate(r ledgerhost.TargetRate)
+	// ObserveRate records what a target's response says about the target's rate limit.
+	ObserveRate(o ledgerhost.RateObservation)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
 	Keep(ctx context.Context, k history.Keep) error
 }
@@ -161,10 +161,11 @@
 	// lastEventID is the id of the latest event that has one.
 	events      int64
 	lastEventID string
-	// granted is the latest grant, and origin is what began the stream of which events
+	// granted is the latest grant, which arrived at grantedAt, and origin is what began the stream of which events
 	// were relayed; nil if none were.
-	granted ledgerhost.AdmitResponse
-	origin  *dispatch.Origin
+	granted   ledgerhost.AdmitResponse
+	grantedAt time.Time
+	origin    *dispatch.Origin
 	// streamed is set once the whole stream has been relayed.
 	streamed bool
 	history  turnHistory
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -84,10 +84,12 @@
 	refuseResumes bool
 }
 
-func (l *testLedger) ReportRate(r ledgerhost.TargetRate) {
+func (l *testLedger) ObserveRate(o ledgerhost.RateObservation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rates = append(l.rates, r)
+	if o.Changed() {
+		l.rates = append(l.rates, o.TargetRate)
+	}
 }
 
 func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return dispatch.Broken, info, false, err
 	}
-	x.observeLimit(grant, info)
+	x.observeLimit(info)
 	reusable = !response.Close
 	if info.NotRun {
 		err = c.discard(response.Body)
@@ -167,12 +167,11 @@
 	return result, info, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
-// observeLimit records the rate limit that the target's response states, and reports it if
-// the ledger's leader did not know it at the time of the grant. It does not wait for the
-// end of the response, which may be a long stream.
-func (x *exchange) observeLimit(grant ledgerhost.AdmitResponse, info ResponseInfo) {
+// observeLimit records the rate limit that the target's response states. It does not wait
+// for the end of the response, which may be a long stream.
+func (x *exchange) observeLimit(info ResponseInfo) {
 	if info.Err != nil {
-		x.entry.options.Log.WithFields(logrus.Fields{"event": "response_header_invalid", "request": x.call.ID, "target": grant.Target}).WithError(info.Err).Warn("a header of the target's response cannot be decoded")
+		x.entry.options.Log.WithFields(logrus.Fields{"event": "response_header_invalid", "request": x.call.ID, "target": x.granted.Target}).WithError(info.Err).Warn("a header of the target's response cannot be decoded")
 		return
 	}
 	if info.RateLimit == nil && !info.Signed {
@@ -180,10 +179,10 @@
 		return
 	}
 	x.record.rateLimit = info.RateLimit
-	known := grant.RateLimit
-	if (known == nil) != (info.RateLimit == nil) || known != nil && *known != *info.RateLimit {
-		x.entry.options.Ledger.ReportRate(ledgerhost.TargetRate{Target: grant.Target, PerSecond: info.RateLimit, Request: x.call.ID})
-	}
+	x.entry.options.Ledger.ObserveRate(ledgerhost.RateObservation{
+		TargetRate: ledgerhost.TargetRate{Target: x.granted.Target, PerSecond: info.RateLimit, Request: x.call.ID},
+		Granted:    x.granted.RateLimit, GrantedAt: x.grantedAt,
+	})
 }
 
 // newTargetRequest returns the request to send to the granted target, with the
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -194,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.RateLimit != nil {
-		c.rates.record(response.Target, response.RateLimit)
+		c.rates.confirm(response.Target, *response.RateLimit)
 	}
 	c.origins.record(r, response)
 	c.markAvailable(l)
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -126,6 +126,7 @@
 func TestBudgetsAndSlotsOverTheLink(t *testing.T) {
 	dir := t.TempDir()
 	s := startStore(t, dir)
+	s.awaitLeader(t)
 	address := s.address
 	var mu sync.Mutex
 	c := startClient(t, func() []string { mu.Lock(); defer mu.Unlock(); return []string{address} })
@@ -158,6 +159,7 @@
 
 	s.stop()
 	s = startStore(t, dir)
+	s.awaitLeader(t)
 	mu.Lock()
 	address = s.address
 	mu.Unlock()
@@ -170,6 +172,7 @@
 // without the rate limit that the entries know.
 func TestNewLeaderLearnsTheRates(t *testing.T) {
 	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	var address atomic.Value
 	address.Store(s.address)
 	c := startClient(t, func() []string { return []string{address.Load().(string)} })
@@ -179,11 +182,12 @@
 	_, err := c.Admit(ctx, first)
 	require.NoError(t, err)
 	limit := 0.8
-	c.ReportRate(TargetRate{Target: "t", PerSecond: &limit, Request: "a"})
+	c.ObserveRate(RateObservation{TargetRate: TargetRate{Target: "t", PerSecond: &limit, Request: "a"}})
 	s.stop()
 	// The connection of the entry stays open until the lease has expired.
 	time.Sleep(leaseDuration)
 	s = startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	address.Store(s.address)
 	start := time.Now()
 	next := turnRequest("b", 1000, 10)
@@ -196,10 +200,41 @@
 	assert.Greater(t, time.Since(start), time.Second, "the new leader starts without saved-up rate")
 }
 
+// TestEndedRatesAreNotRepeated guards against an entry that repeats a limit to a new leader
+// although the target's responses no longer state it.
+func TestEndedRatesAreNotRepeated(t *testing.T) {
+	limit := 8.0
+	known := make(knownRates)
+	known.confirm("t", limit)
+	response := RateObservation{TargetRate: TargetRate{Target: "t"}, GrantedAt: time.Now().Add(-time.Second)}
+	known.observe(response)
+	assert.Len(t, known.reports(), 1, "the request was granted before the limit was confirmed")
+	response.GrantedAt = time.Now()
+	known.observe(response)
+	assert.Empty(t, known.reports())
+	assert.False(t, response.Changed(), "the leader knew that the limit had ended")
+	response.PerSecond = &limit
+	assert.True(t, response.Changed())
+	known.observe(response)
+	assert.Len(t, known.reports(), 1)
+}
+
+// awaitLeader waits until the store admits requests. An election takes as long as the disk
+// needs for a sync.
+func (s *testStore) awaitLeader(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		return s.host.canAdmit()
+	}, 20*time.Second, time.Millisecond)
+}
+
 // TestNewLeaderLearnsTheOrigins guards against streams that can't be taken up after a change
 // of leader, and against a new leader that places them at any version.
 func TestNewLeaderLearnsTheOrigins(t *testing.T) {
 	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	var address atomic.Value
 	address.Store(s.address)
 	addresses := func() []string { return []string{address.Load().(string)} }
@@ -215,6 +250,7 @@
 	// The connection of the entry stays open until the lease has expired.
 	time.Sleep(leaseDuration)
 	s = startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	address.Store(s.address)
 	again := turnRequest("again", 1000, 10)
 	again.Stream, again.Continues, again.Resumes = true, true, "first"
@@ -250,6 +286,7 @@
 	require.NoError(t, err)
 	defer silent.Close()
 	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	c := startClient(t, func() []string { return []string{silent.Addr().String(), s.address} })
 	start := time.Now()
 	response, err := c.Admit(context.Background(), turnRequest("a", 10, 1))
@@ -317,6 +354,7 @@
 // because the request was refused when it needed a second target.
 func TestRefusedRetryStaysCharged(t *testing.T) {
 	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
 	c := startClient(t, func() []string { return []string{s.address} })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
--- a/server/ledger/rates.go
+++ b/server/ledger/rates.go
@@ -19,16 +19,43 @@
 	confirmedAt time.Time
 }
 
-// record stores what a response or a grant says about the limit of a target.
-func (k knownRates) record(target string, perSecond *float64) {
-	if perSecond == nil {
-		delete(k, target)
-		return
+// RateObservation is what a target's response to a granted request says about the target's
+// rate limit.
+type RateObservation struct {
+	TargetRate
+	// Granted is the limit that the leader knew when it granted the request, and GrantedAt
+	// is when the grant arrived.
+	Granted   *float64
+	GrantedAt time.Time
+}
+
+// Changed reports whether the response says something that the leader did not know when it
+// granted the request.
+func (o RateObservation) Changed() bool {
+	if o.Granted == nil || o.PerSecond == nil {
+		return o.Granted != o.PerSecond
 	}
+	return *o.Granted != *o.PerSecond
+}
+
+// confirm stores a limit that a response or a grant states.
+func (k knownRates) confirm(target string, perSecond float64) {
 	if _, known := k[target]; !known {
 		k.dropUnconfirmed()
 	}
-	k[target] = knownRate{*perSecond, time.Now()}
+	k[target] = knownRate{perSecond, time.Now()}
+}
+
+// observe stores what a response says. A response without a limit ends the known one if its
+// request was granted after that was last confirmed.
+func (k knownRates) observe(o RateObservation) {
+	if o.PerSecond != nil {
+		k.confirm(o.Target, *o.PerSecond)
+		return
+	}
+	if known, ok := k[o.Target]; ok && o.GrantedAt.After(known.confirmedAt) {
+		delete(k, o.Target)
+	}
 }
 
 // dropUnconfirmed removes the limits that have not been confirmed for knownRateRetention.
@@ -46,17 +73,18 @@
 	return reports
 }
 
-// ReportRate tells the leader what a target's response says about its rate limit. A leader
-// that is elected later gets the limit before it gets requests.
-func (c *Client) ReportRate(r TargetRate) {
+// ObserveRate records what a target's response says about its rate limit, and reports it to
+// the leader if that did not know it. A leader that is elected later gets the known limits
+// before it gets requests.
+func (c *Client) ObserveRate(o RateObservation) {
 	c.mu.Lock()
-	c.rates.record(r.Target, r.PerSecond)
+	c.rates.observe(o)
 	l := c.link
 	c.mu.Unlock()
-	if l == nil {
+	if l == nil || !o.Changed() {
 		return
 	}
-	if err := l.send(kindTargetRates, []TargetRate{r}); err != nil {
+	if err := l.send(kindTargetRates, []TargetRate{o.TargetRate}); err != nil {
 		c.connectionFailed(l, err)
 	}
 }
