--- a/server/forward/endless_caller_test.go
+++ b/server/forward/endless_caller_test.go
@@ -45,7 +45,7 @@
 				assert.Equal(t, c.status, response.StatusCode)
 			}
 			assert.Less(t, time.Since(start), shortRouteTimeout+endMargin)
-			assert.Empty(t, l.admissions)
+			assert.Empty(t, l.admitted())
 		})
 	}
 }
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -135,6 +135,13 @@
 	l.reports = append(l.reports, r)
 }
 
+// admitted returns the admission requests so far.
+func (l *testLedger) admitted() []ledgerhost.AdmitRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]ledgerhost.AdmitRequest(nil), l.admissions...)
+}
+
 // results returns the reported results in order, joined by commas.
 func (l *testLedger) results() string {
 	l.mu.Lock()
--- a/server/forward/ratelimit_test.go
+++ b/server/forward/ratelimit_test.go
@@ -81,6 +81,6 @@
 	_, _, err := post(t, startEntry(t, l, true), "/stream/x")
 	assert.Error(t, err, "the stream breaks off")
 	assert.Len(t, target.requests(), 1)
-	require.Len(t, l.admissions, 2)
-	assert.Equal(t, "t-"+target.address, l.admissions[1].Target)
+	require.Len(t, l.admitted(), 2)
+	assert.Equal(t, "t-"+target.address, l.admitted()[1].Target)
 }
--- a/server/forward/takeup_test.go
+++ b/server/forward/takeup_test.go
@@ -21,13 +21,13 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, status)
 	assert.Equal(t, eventText(4)+eventText(5), body)
-	require.Len(t, l.admissions, 3)
-	for i, r := range l.admissions {
+	require.Len(t, l.admitted(), 3)
+	for i, r := range l.admitted() {
 		assert.True(t, r.Stream && r.Continues, i)
 		assert.Equal(t, "began", r.Resumes, i)
 	}
-	assert.Nil(t, l.admissions[0].Origin, "only the ledger knows what began the stream")
-	for _, r := range l.admissions[1:] {
+	assert.Nil(t, l.admitted()[0].Origin, "only the ledger knows what began the stream")
+	for _, r := range l.admitted()[1:] {
 		assert.Equal(t, &dispatch.Origin{Service: "engine", Software: "v1"}, r.Origin)
 	}
 }
@@ -41,10 +41,10 @@
 	require.NoError(t, err)
 	_, _, err = post(t, server, "/once/x", "Last", "3")
 	require.NoError(t, err)
-	require.Len(t, l.admissions, 2)
-	assert.True(t, l.admissions[0].Stream)
-	assert.False(t, l.admissions[0].Continues)
-	assert.False(t, l.admissions[1].Stream || l.admissions[1].Continues)
+	require.Len(t, l.admitted(), 2)
+	assert.True(t, l.admitted()[0].Stream)
+	assert.False(t, l.admitted()[0].Continues)
+	assert.False(t, l.admitted()[1].Stream || l.admitted()[1].Continues)
 }
 
 // TestRefusedTakeUp guards against a refusal that asks the caller to wait for a software
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -248,13 +248,24 @@
 // and all of them the same. A command may stand several times in a row if propose repeated it,
 // because a proposal of unknown outcome may have been committed.
 func (c *cluster) requireConverged(want []string) {
-	var lists []string
+	c.t.Cleanup(func() {
+		for name, r := range c.running {
+			if c.t.Failed() {
+				c.t.Logf("%s applied %v", name, r.state.list())
+			}
+		}
+	})
 	for name, r := range c.running {
 		c.eventually(fmt.Sprintf("%s holds %v", name, want), func() bool { return slices.Equal(c.withoutRepeats(r.state.list()), want) })
-		lists = append(lists, fmt.Sprint(r.state.list()))
 	}
-	slices.Sort(lists)
-	require.Len(c.t, slices.Compact(lists), 1, "all replicas apply the same commands")
+	c.eventually("all replicas apply the same commands", func() bool {
+		var lists []string
+		for _, r := range c.running {
+			lists = append(lists, fmt.Sprint(r.state.list()))
+		}
+		slices.Sort(lists)
+		return len(slices.Compact(lists)) == 1
+	})
 }
 
 // withoutRepeats removes the repeats of each command that stand directly behind it, but at
