quarantine: crashes are decided on evidence and remembered in the ledger's log

Callers saw: a request under which targets end was sent to further targets, at other entries and after changes of leader, and each of them ended.

Cause: the leader learned that a target had ended only if another request was refused a connection there within 2 s and no earlier response of that target was reported in between, and it kept the count in its memory. Reports of silent targets counted for nothing, and the report of a loss could cross the next grant and then name no request.

Ruled out: max_attempts, resumes at the same target and the time handed on, by reading.

The fix: entries report each lost response before their next request; the leader looks for evidence of its own (a later incarnation, a refused connection, silence for 3 s, a second entry) and records crashes in the replicated log, bounded for each organisation. What a target completes later revokes a crash.

--- /dev/null
+++ b/cmd/hemlockctl/stores.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hemlockvale.dev/server/rpc"
+)
+
+// storeDialTimeout bounds a connection attempt to a store VM.
+const storeDialTimeout = time.Second
+
+// addStoreFlag adds the flag for the addresses of store VMs.
+func addStoreFlag(cmd *cobra.Command, stores *[]string) {
+	cmd.Flags().StringSliceVar(stores, "store", nil, "RPC addresses of store VMs, separated by commas")
+}
+
+// askStores calls a method of the store VMs in order until the leader responds. It returns
+// the errors of all of them if none does.
+func askStores(ctx context.Context, stores []string, method string, params, response any) error {
+	if len(stores) == 0 {
+		return usageError{errors.New("no store VM: use --store")}
+	}
+	pool := rpc.NewPool(storeDialTimeout)
+	defer pool.Close()
+	var errs []error
+	for _, address := range stores {
+		err := pool.Call(ctx, address, method, params, response)
+		if err == nil {
+			return nil
+		}
+		errs = append(errs, fmt.Errorf("%s: %w", address, err))
+	}
+	return errors.Join(errs...)
+}
--- a/cmd/hemlockctl/turn.go
+++ b/cmd/hemlockctl/turn.go
@@ -2,22 +2,16 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/server/ledger"
-	"hemlockvale.dev/server/rpc"
 )
 
-// storeDialTimeout bounds a connection attempt to a store VM.
-const storeDialTimeout = time.Second
-
 // turnCommand returns the turn command, which looks for the history of a turn.
 func turnCommand(o *options) *cobra.Command {
 	parent := &cobra.Command{Use: "turn", Short: "Look for the histories of programs"}
@@ -33,14 +27,14 @@
 	cmd := &cobra.Command{
 		Use: "locate REQUEST-ID", Short: "Show which store VMs hold the history up to a turn", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			response, err := locateTurn(cmd, stores, history.Turn{Organisation: organisation, ID: args[0]})
-			if err != nil {
+			var response ledger.TurnResponse
+			if err := askStores(cmd.Context(), stores, ledger.MethodTurn, history.Turn{Organisation: organisation, ID: args[0]}, &response); err != nil {
 				return err
 			}
 			return o.printTurn(cmd.OutOrStdout(), response)
 		},
 	}
-	cmd.Flags().StringSliceVar(&stores, "store", nil, "RPC addresses of store VMs, separated by commas")
+	addStoreFlag(cmd, &stores)
 	cmd.Flags().StringVar(&organisation, "organisation", "", "organisation that ran the turn")
 	return cmd
 }
@@ -60,22 +54,3 @@
 	}
 	return o.print(out, raw, "holders", []column{{"STORAGE", "storage"}, {"ADDRESS", "address"}, {"DATA CENTRE", "data_centre"}, {"RETIRING", "retiring"}})
 }
-
-// locateTurn asks the store VMs in order until the leader responds.
-func locateTurn(cmd *cobra.Command, stores []string, t history.Turn) (ledger.TurnResponse, error) {
-	if len(stores) == 0 {
-		return ledger.TurnResponse{}, usageError{errors.New("no store VM: use --store")}
-	}
-	pool := rpc.NewPool(storeDialTimeout)
-	defer pool.Close()
-	var errs []error
-	for _, address := range stores {
-		var response ledger.TurnResponse
-		err := pool.Call(cmd.Context(), address, ledger.MethodTurn, t, &response)
-		if err == nil {
-			return response, nil
-		}
-		errs = append(errs, fmt.Errorf("%s: %w", address, err))
-	}
-	return ledger.TurnResponse{}, errors.Join(errs...)
-}
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -45,8 +45,6 @@
 	// programs holds the programs that have started.
 	programs *programs
 	medians  map[string]*cachedMedian
-	// quarantine refuses requests that crash targets.
-	quarantine quarantine
 	// awaitingToken holds the requests that wait for a rate limit token of their
 	// organisation.
 	awaitingToken []*waitingRequest
@@ -61,8 +59,6 @@
 	tokens       int64
 	grantedAt    time.Duration
 	expires      time.Duration
-	// fingerprint identifies the content of the request; 0 if unknown.
-	fingerprint uint64
 }
 
 // New returns a dispatcher without targets that starts to grant at the time now. The
@@ -86,7 +82,6 @@
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
 		medians:          make(map[string]*cachedMedian),
-		quarantine:       newQuarantine(),
 	}
 }
 
@@ -114,10 +109,6 @@
 // Admit grants, queues or refuses a request. If the request has to wait, a later call
 // of Done, Tick or SetTargets returns its outcome.
 func (d *Dispatcher) Admit(now time.Duration, r Request) Outcome {
-	if d.quarantine.blocks(now, r.Fingerprint) {
-		d.discard(r.ID)
-		return Outcome{ID: r.ID, Refusal: Quarantined, RetryAfter: quarantineDuration}
-	}
 	if refusal := d.resolveOrigin(&r); refusal != "" {
 		d.discard(r.ID)
 		return Outcome{ID: r.ID, Refusal: refusal}
@@ -232,9 +223,7 @@
 // target did: the number of tokens for an engine, or 1 for a plain service.
 func (d *Dispatcher) Done(now time.Duration, id, targetID string, result Result, units int64) []Outcome {
 	g := d.grants[id]
-	fingerprint := uint64(0)
 	if g != nil && g.target.ID == targetID {
-		fingerprint = g.fingerprint
 		d.release(id, g)
 		switch result {
 		case Completed, Failed, Broken:
@@ -244,7 +233,6 @@
 			d.refund(g.organisation)
 		}
 	}
-	d.quarantine.observe(now, targetID, fingerprint, result)
 	t := d.targets[targetID]
 	if t == nil {
 		return nil
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -29,7 +29,7 @@
 		w.program.addWait(now, now-w.queuedAt)
 	}
 	d.recordOrigin(w, t)
-	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expires: w.expires + grantGracePeriod, fingerprint: r.Fingerprint}
+	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expires: w.expires + grantGracePeriod}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
 
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -144,8 +144,6 @@
 	// OriginUnknown means that it is not known any more which software began the stream.
 	// The caller has to start over.
 	OriginUnknown Refusal = "origin_unknown"
-	// Quarantined means that the request has crashed several targets.
-	Quarantined Refusal = "quarantined"
 	// Overloaded means that no target is expected to be free before the caller's
 	// time runs out.
 	Overloaded Refusal = "overloaded"
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -4,7 +4,8 @@
 // A turn is a request of a program that generates tokens. It reserves the maximum
 // number of tokens that it can generate before any of them reaches the caller, and is
 // settled with the number that was delivered. A reservation that is never settled
-// stays charged in full. The state also includes the directory of kept histories.
+// stays charged in full. The state also includes the directory of kept histories
+// and the requests that have ended targets.
 //
 // Invariant: the spent and reserved tokens of a program never exceed its budget.
 package ledger
@@ -14,6 +15,7 @@
 	"fmt"
 
 	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/coord/quarantine"
 )
 
 // Program identifies a program within its organisation.
@@ -51,7 +53,7 @@
 }
 
 // Command is a batch of changes. The reservations are applied first, then the
-// settlements, the retirements and the keeps, each in order.
+// settlements, the retirements, the keeps and the quarantine, each in order.
 type Command struct {
 	// UnixSeconds is the wall clock of the leader; it is only used to expire old
 	// programs and turns.
@@ -61,6 +63,8 @@
 	Keeps       []history.Keep `json:"h,omitempty"`
 	// RetiredStorages are excluded from holding histories.
 	RetiredStorages []string `json:"x,omitempty"`
+	// Quarantine holds changes of the requests that have ended targets.
+	Quarantine []quarantine.Change `json:"q,omitempty"`
 }
 
 // Result tells which changes of a command took effect, in the order of the command.
@@ -93,6 +97,7 @@
 type State struct {
 	accounts map[Program]*account
 	turns    *history.Directory
+	suspects *quarantine.Records
 	// latestSeconds is the highest wall clock time of any command, in Unix seconds.
 	latestSeconds int64
 	// sweptSeconds is the value of latestSeconds at the last search for expired
@@ -102,12 +107,15 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{accounts: make(map[Program]*account), turns: history.NewDirectory()}
+	return &State{accounts: make(map[Program]*account), turns: history.NewDirectory(), suspects: quarantine.NewRecords()}
 }
 
 // Turns returns the directory of kept histories. The caller must not change it.
 func (s *State) Turns() *history.Directory { return s.turns }
 
+// Suspects returns the requests that have ended targets. The caller must not change them.
+func (s *State) Suspects() *quarantine.Records { return s.suspects }
+
 // UnixSeconds returns the highest wall clock time of any command.
 func (s *State) UnixSeconds() int64 { return s.latestSeconds }
 
@@ -162,6 +170,9 @@
 	for i, k := range c.Keeps {
 		result.Kept[i] = s.turns.Keep(s.latestSeconds, k)
 	}
+	for _, change := range c.Quarantine {
+		s.suspects.Apply(s.latestSeconds, change)
+	}
 	s.sweep()
 	return result
 }
@@ -210,14 +221,16 @@
 		}
 	}
 	s.turns.Expire(s.latestSeconds)
+	s.suspects.Expire(s.latestSeconds)
 }
 
 // snapshot is the encoded form of a State.
 type snapshot struct {
-	LatestSeconds int64            `json:"n"`
-	SweptSeconds  int64            `json:"w"`
-	Accounts      []programAccount `json:"a"`
-	Turns         history.Image    `json:"h"`
+	LatestSeconds int64                `json:"n"`
+	SweptSeconds  int64                `json:"w"`
+	Accounts      []programAccount     `json:"a"`
+	Turns         history.Image        `json:"h"`
+	Suspects      []quarantine.Suspect `json:"q,omitempty"`
 }
 
 // programAccount is the encoded form of one account.
@@ -232,7 +245,7 @@
 	for p, a := range s.accounts {
 		encoded.Accounts = append(encoded.Accounts, programAccount{p, a})
 	}
-	encoded.Turns = s.turns.Image()
+	encoded.Turns, encoded.Suspects = s.turns.Image(), s.suspects.List()
 	return json.Marshal(encoded)
 }
 
@@ -247,6 +260,6 @@
 	for _, item := range decoded.Accounts {
 		s.accounts[item.Program] = item.Account
 	}
-	s.turns = history.FromImage(decoded.Turns)
+	s.turns, s.suspects = history.FromImage(decoded.Turns), quarantine.FromList(decoded.Suspects)
 	return nil
 }
--- /dev/null
+++ b/coord/quarantine/detector.go
@@ -0,0 +1,302 @@
+package quarantine
+
+import (
+	"time"
+)
+
+const (
+	// lossRetention is how long after a lost response the end of its target counts as its
+	// consequence. A target that has ended is back some seconds later.
+	lossRetention = 20 * time.Second
+	// minCheckInterval is the time between two checks of one target.
+	minCheckInterval = 500 * time.Millisecond
+	// silentChecks is the number of successive checks without any response that show the
+	// end of a target, and silentTime the time that they must span. A sound target may be
+	// silent for a second or so.
+	silentChecks = 3
+	silentTime   = 3 * time.Second
+	// maxLosses and maxLossesPerOrganisation bound the lost responses that are remembered.
+	maxLosses                = 4096
+	maxLossesPerOrganisation = 512
+)
+
+// Evidence is what shows that a target has ended.
+type Evidence string
+
+const (
+	// Superseded means that a later incarnation has announced itself with the id or the
+	// address of the target.
+	Superseded Evidence = "superseded"
+	// Refused means that the target's address refused a connection from another VM than the
+	// one that lost the response.
+	Refused Evidence = "refused"
+	// Silent means that the target's address did not respond to that other VM.
+	Silent Evidence = "silent"
+)
+
+// Target is a target as the catalog lists it.
+type Target struct {
+	Incarnation
+	// Address is the network address.
+	Address string
+	// Leaving is set if the target has announced that it leaves, so that its end is planned.
+	Leaving bool
+}
+
+// Loss is a request whose response was lost.
+type Loss struct {
+	Content
+	Incarnation
+	// Address is the address of the target.
+	Address string
+	// Reporter identifies the VM that lost the response.
+	Reporter string
+	// Ran is the time from the grant of the request to the loss, and Age the time since
+	// then.
+	Ran, Age time.Duration
+	// Reset is set if the connection failed, and not set if the caller left or its time ran
+	// out before the target responded.
+	Reset bool
+}
+
+// loss is a Loss with its times on the clock of the detector.
+type loss struct {
+	Loss
+	from, to time.Duration
+	// completedAfter is set if the target has completed a request that it got later.
+	completedAfter bool
+}
+
+// suspicion is what is known about an incarnation whose responses were lost.
+type suspicion struct {
+	losses []*loss
+	// checkedAt is the time of the latest check; silent is the number of successive checks
+	// without a response, the first of which was at silentSince.
+	checkedAt   time.Duration
+	silent      int
+	silentSince time.Duration
+}
+
+// Check requests to connect to the address of a target, and to report the result with
+// Checked.
+type Check struct {
+	Incarnation
+	Address string
+}
+
+// Detector decides whether targets have ended while they ran a request.
+type Detector struct {
+	// unixMS is the Unix time in milliseconds at the time 0 of the detector's clock.
+	unixMS     int64
+	targets    map[string]Target
+	byAddress  map[string]Target
+	suspicions map[Incarnation]*suspicion
+	// losses and perOrganisation count the remembered losses.
+	losses          int
+	perOrganisation map[string]int
+}
+
+// NewDetector returns a detector without targets. The detector's clock shows now at the
+// Unix time unixMS in milliseconds.
+func NewDetector(now time.Duration, unixMS int64) *Detector {
+	return &Detector{
+		unixMS: unixMS - now.Milliseconds(), targets: make(map[string]Target), byAddress: make(map[string]Target),
+		suspicions: make(map[Incarnation]*suspicion), perOrganisation: make(map[string]int),
+	}
+}
+
+// SetTargets replaces the set of known targets and returns the crashes that it shows.
+func (d *Detector) SetTargets(now time.Duration, targets []Target) []Crash {
+	clear(d.targets)
+	clear(d.byAddress)
+	for _, t := range targets {
+		d.targets[t.Target] = t
+		if other, ok := d.byAddress[t.Address]; !ok || other.StartedUnixMS < t.StartedUnixMS {
+			d.byAddress[t.Address] = t
+		}
+	}
+	var crashes []Crash
+	for i := range d.suspicions {
+		crashes = append(crashes, d.superseded(now, i)...)
+	}
+	return crashes
+}
+
+// superseded returns the crashes of an incarnation that is not listed any more, and forgets
+// it. An incarnation without a successor has left as planned.
+func (d *Detector) superseded(now time.Duration, i Incarnation) []Crash {
+	s := d.suspicions[i]
+	current, listed := d.targets[i.Target]
+	if listed && current.StartedUnixMS <= i.StartedUnixMS || len(s.losses) == 0 {
+		return nil
+	}
+	// A target that restarted under its id completes requests before its successor is known.
+	restarted := listed
+	successor, replaced := d.byAddress[s.losses[0].Address]
+	replaced = replaced && successor.StartedUnixMS > i.StartedUnixMS
+	var crashes []Crash
+	for _, l := range s.losses {
+		if now <= l.to+lossRetention && (restarted || replaced && !l.completedAfter) {
+			crashes = append(crashes, d.crash(l, Superseded))
+		}
+	}
+	d.forget(i)
+	return crashes
+}
+
+// crash returns the crash that a loss turned out to be.
+func (d *Detector) crash(l *loss, e Evidence) Crash {
+	return Crash{Content: l.Content, Incarnation: l.Incarnation, FromUnixMS: d.unixMS + l.from.Milliseconds(), ToUnixMS: d.unixMS + l.to.Milliseconds(), Evidence: e}
+}
+
+// Lost records a lost response. It returns the crashes that are evident, and the check that
+// should be made; nil if none is due.
+func (d *Detector) Lost(now time.Duration, reported Loss) ([]Crash, *Check) {
+	d.Sweep(now)
+	if t, ok := d.targets[reported.Target]; ok && t.Incarnation == reported.Incarnation && t.Leaving {
+		return nil, nil
+	}
+	s := d.suspicions[reported.Incarnation]
+	if s == nil {
+		s = &suspicion{checkedAt: now - minCheckInterval}
+		d.suspicions[reported.Incarnation] = s
+	}
+	d.addLoss(now, s, reported)
+	if crashes := d.superseded(now, reported.Incarnation); len(crashes) > 0 {
+		return crashes, nil
+	}
+	if !reported.Reset || now < s.checkedAt+minCheckInterval || d.suspicions[reported.Incarnation] == nil {
+		return nil, nil
+	}
+	s.checkedAt = now
+	return nil, &Check{reported.Incarnation, reported.Address}
+}
+
+// addLoss remembers a loss, unless it is known or there are too many.
+func (d *Detector) addLoss(now time.Duration, s *suspicion, reported Loss) {
+	for _, known := range s.losses {
+		if known.Content == reported.Content {
+			return
+		}
+	}
+	if d.losses >= maxLosses || d.perOrganisation[reported.Organisation] >= maxLossesPerOrganisation {
+		return
+	}
+	to := now - reported.Age
+	s.losses = append(s.losses, &loss{Loss: reported, from: to - reported.Ran, to: to})
+	d.losses++
+	d.perOrganisation[reported.Organisation]++
+}
+
+// Result is the result of a check.
+type Result int
+
+const (
+	// Connected means that the address accepted the connection.
+	Connected Result = iota
+	// NotListening means that the address refused the connection.
+	NotListening
+	// NoResponse means that there was no response.
+	NoResponse
+)
+
+// Checked records the result of a check and returns the crashes that it shows.
+func (d *Detector) Checked(now time.Duration, c Check, r Result) []Crash {
+	s := d.suspicions[c.Incarnation]
+	if s == nil {
+		return nil
+	}
+	evidence := Refused
+	switch r {
+	case Connected:
+		s.silent = 0
+		return nil
+	case NoResponse:
+		evidence = Silent
+		if s.silent == 0 {
+			s.silentSince = now
+		}
+		s.silent++
+		if s.silent < silentChecks || now < s.silentSince+silentTime {
+			return nil
+		}
+	}
+	return d.crashesOf(now, c.Incarnation, evidence)
+}
+
+// crashesOf returns the crashes that the end of an incarnation makes of its losses. The end
+// of a target that has left, or says that it leaves, is planned.
+func (d *Detector) crashesOf(now time.Duration, i Incarnation, e Evidence) []Crash {
+	t, listed := d.targets[i.Target]
+	if !listed || t.Leaving {
+		return nil
+	}
+	var crashes []Crash
+	for _, l := range d.suspicions[i].losses {
+		if !l.completedAfter && now <= l.to+lossRetention {
+			crashes = append(crashes, d.crash(l, e))
+		}
+	}
+	return crashes
+}
+
+// Unreachable records that a VM could not connect to a target, and returns the crashes that
+// this shows: those of responses that another VM has lost.
+func (d *Detector) Unreachable(now time.Duration, target, reporter string) []Crash {
+	s := d.suspicions[d.targets[target].Incarnation]
+	if s == nil {
+		return nil
+	}
+	for _, l := range s.losses {
+		if l.Reporter != reporter && l.Reset {
+			return d.crashesOf(now, d.targets[target].Incarnation, Refused)
+		}
+	}
+	return nil
+}
+
+// Completed records that a target has completed a request that was granted at the time
+// grantedAt. It returns the incarnation that was alive then, and the time in Unix
+// milliseconds.
+func (d *Detector) Completed(target string, grantedAt time.Duration) (Incarnation, int64) {
+	alive := d.targets[target].Incarnation
+	if s := d.suspicions[alive]; s != nil {
+		for _, l := range s.losses {
+			// A response to an earlier request may have been complete before the loss.
+			l.completedAfter = l.completedAfter || grantedAt > l.to
+		}
+	}
+	return alive, d.unixMS + grantedAt.Milliseconds()
+}
+
+// Due returns the checks that must be repeated: those of targets that have not responded.
+func (d *Detector) Due(now time.Duration) []Check {
+	var checks []Check
+	for i, s := range d.suspicions {
+		if s.silent > 0 && len(s.losses) > 0 && now >= s.checkedAt+silentTime/2 {
+			s.checkedAt = now
+			checks = append(checks, Check{i, s.losses[0].Address})
+		}
+	}
+	return checks
+}
+
+// Sweep forgets the losses whose retention has ended.
+func (d *Detector) Sweep(now time.Duration) {
+	for i, s := range d.suspicions {
+		if len(s.losses) == 0 || now > s.losses[len(s.losses)-1].to+lossRetention {
+			d.forget(i)
+		}
+	}
+}
+
+func (d *Detector) forget(i Incarnation) {
+	for _, l := range d.suspicions[i].losses {
+		d.losses--
+		d.perOrganisation[l.Organisation]--
+		if d.perOrganisation[l.Organisation] == 0 {
+			delete(d.perOrganisation, l.Organisation)
+		}
+	}
+	delete(d.suspicions, i)
+}
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -74,6 +74,8 @@
 	Done(r ledgerhost.DoneReport)
 	// ObserveRate records what a target's response says about the target's rate limit.
 	ObserveRate(o ledgerhost.RateObservation)
+	// ReportLoss records that the response to a request was lost.
+	ReportLoss(r ledgerhost.LossReport)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
 	Keep(ctx context.Context, k history.Keep) error
 }
@@ -157,6 +159,10 @@
 	// mayHaveRun is set when a target gets the request and does not report that it did
 	// not run it. It is never cleared: a later target knows nothing about an earlier one.
 	mayHaveRun bool
+	// unanswered is set from the first byte that a target gets of the request until its
+	// response is complete, or reports that the request did not run. headReceived is set once
+	// the head of the response has arrived.
+	unanswered, headReceived bool
 	// events counts the data events of a stream that were relayed to the caller, and
 	// lastEventID is the id of the latest event that has one.
 	events      int64
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -78,6 +78,8 @@
 	// rateLimit is the rate limit that grants state, and rates are the reported ones.
 	rateLimit *float64
 	rates     []ledgerhost.TargetRate
+	// losses are the reported lost responses.
+	losses []ledgerhost.LossReport
 	// software is the software version of all granted targets.
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
@@ -92,6 +94,12 @@
 	}
 }
 
+func (l *testLedger) ReportLoss(r ledgerhost.LossReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.losses = append(l.losses, r)
+}
+
 func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	ledgerhost "hemlockvale.dev/server/ledger"
@@ -38,6 +40,7 @@
 		if err != nil {
 			x.record.targetErr = err
 		}
+		x.reportLoss(result)
 		if result == dispatch.Completed || result == dispatch.Failed {
 			x.reportDone(grant.Target, result, true)
 			x.finishTurn()
@@ -135,6 +138,7 @@
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
+	x.unanswered, x.headReceived = true, false
 	if err != nil {
 		x.mayHaveRun = true
 		return dispatch.Broken, info, false, err
@@ -146,9 +150,11 @@
 	if err != nil {
 		return dispatch.Broken, info, false, err
 	}
+	x.headReceived = true
 	x.observeLimit(info)
 	reusable = !response.Close
 	if info.NotRun {
+		x.unanswered = false
 		err = c.discard(response.Body)
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			return dispatch.WrongTarget, info, false, err
@@ -167,6 +173,28 @@
 	return result, info, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
+// reportLoss tells the ledger if the response of the granted target was lost, which may be
+// because the request ended the target. A caller that leaves in the middle of a response
+// loses nothing.
+func (x *exchange) reportLoss(result dispatch.Result) {
+	if !x.unanswered || result == dispatch.Completed || result == dispatch.Failed {
+		return
+	}
+	x.unanswered = false
+	ended := x.ctx.Err() != nil || result == dispatch.Abandoned
+	if ended && x.headReceived {
+		return
+	}
+	content := quarantine.Content{Fingerprint: x.fingerprint()}
+	if x.organisation != nil {
+		content.Organisation = x.organisation.Name
+	}
+	x.entry.options.Ledger.ReportLoss(ledgerhost.LossReport{Request: x.call.ID, Loss: quarantine.Loss{
+		Content: content, Incarnation: quarantine.Incarnation{Target: x.granted.Target, StartedUnixMS: x.granted.StartedUnixMS},
+		Address: x.granted.Address, Ran: time.Since(x.grantedAt), Reset: !ended || x.request.Context().Err() == nil,
+	}})
+}
+
 // observeLimit records the rate limit that the target's response states. It does not wait
 // for the end of the response, which may be a long stream.
 func (x *exchange) observeLimit(info ResponseInfo) {
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -73,6 +73,8 @@
 	rates knownRates
 	// origins are those of the streams of this entry.
 	origins knownOrigins
+	// losses are the latest responses that this entry lost.
+	losses knownLosses
 	// searches counts the searches; offset makes entries ask different store VMs.
 	searches, offset int
 	// unavailableSince is the time of the first failure since a store VM last decided
--- a/server/ledger/histories_test.go
+++ b/server/ledger/histories_test.go
@@ -156,6 +156,9 @@
 	m := NewMachine()
 	assert.Equal(t, ledger.Result{Reserved: []bool{true}, Kept: []bool{}}, m.Apply(1, data))
 	assert.EqualValues(t, 60, m.charged(ledger.Program{Organisation: "o", ID: "p"}))
-	_, isError := m.Apply(2, []byte("garbage")).(error)
+	data, err = compact.Marshal(historyCommand{UnixSeconds: 6, Reserves: []ledger.Reserve{*turnRequest("b", 100, 30).Reserve}})
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Result{Reserved: []bool{true}, Kept: []bool{}}, m.Apply(2, data))
+	_, isError := m.Apply(3, []byte("garbage")).(error)
 	assert.True(t, isError)
 }
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -26,6 +26,7 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/quorum"
@@ -93,6 +94,10 @@
 	reservations   map[string]*reservation
 	proposedTokens map[ledger.Program]int64
 	copies         copyState
+	// detector finds out which targets have ended while they ran a request.
+	detector *quarantine.Detector
+	// checkSlots holds an element for each check of a target in progress.
+	checkSlots chan struct{}
 	// parked holds the connections whose first ping waits for a leader.
 	parked []parkedLink
 }
@@ -103,15 +108,16 @@
 	link    *link
 	// receivedAt is on the boot clock.
 	receivedAt time.Duration
-	// response is nil while the request is queued.
-	response *AdmitResponse
+	// response is nil while the request is queued; it was sent at finishedAt.
+	response   *AdmitResponse
+	finishedAt time.Duration
 	// holders are the storages that hold the record of the previous turn.
 	holders []string
 }
 
 // New returns a host. Run must be called for it to admit requests.
 func New(options Options) *Host {
-	h := &Host{options: options, batcher: newBatcher(options.Quorum, options.Log)}
+	h := &Host{options: options, batcher: newBatcher(options.Quorum, options.Log), checkSlots: make(chan struct{}, maxChecks)}
 	h.reset()
 	return h
 }
@@ -128,6 +134,8 @@
 	s.HandleConn(Preface, h.serveLink)
 	s.Handle(registry.MethodRemoveVoter, h.handleRemoveVoter)
 	s.Handle(MethodTurn, h.handleTurn)
+	s.Handle(MethodQuarantine, h.handleQuarantine)
+	s.Handle(MethodClearQuarantine, h.handleClearQuarantine)
 }
 
 // Run renews the lease, writes batches and drops expired requests until ctx ends.
@@ -164,6 +172,7 @@
 func (h *Host) startLeadership(leaderSince time.Time) {
 	h.leaderSince = leaderSince
 	h.dispatcher = dispatch.New(bootclock.Now(), h.options.Seed)
+	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
 	h.setTargets()
 	h.options.Log.WithFields(logrus.Fields{"event": "ledger_leading", "programs": h.options.Machine.programs(), "revision": h.options.View().Revision}).Info("this VM is the leader and admits requests")
@@ -191,6 +200,7 @@
 		targets = append(targets, target)
 	}
 	h.deliverOutcomes(h.dispatcher.SetTargets(bootclock.Now(), targets))
+	h.setDetectorTargets(view)
 }
 
 // canAdmit reports whether this VM may admit requests now: it must hold a valid lease
@@ -214,6 +224,10 @@
 		return
 	}
 	h.admissions[r.ID] = a
+	if h.isQuarantined(&r.Request) {
+		h.finish(a, AdmitResponse{Refusal: Quarantined, RetryAfter: quarantine.RetentionSeconds * time.Second})
+		return
+	}
 	holders, known := h.previousHolders(r)
 	if !known {
 		h.finish(a, AdmitResponse{Refusal: UnknownTurn})
@@ -238,7 +252,7 @@
 // finish sends the outcome of an admission to the entry and logs it.
 func (h *Host) finish(a *admission, r AdmitResponse) {
 	r.ID, r.Attempt, r.Holders = a.request.ID, a.request.Attempt, a.holders
-	a.response = &r
+	a.response, a.finishedAt = &r, bootclock.Now()
 	if r.Refusal != "" && a.request.Attempt == 0 {
 		// After an earlier attempt, the entry settles what it has delivered.
 		h.releaseReservation(a)
@@ -263,6 +277,9 @@
 	if r.Target != "" {
 		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
 	} else {
+		if r.Refusal == Quarantined {
+			fields["fingerprint"] = fingerprintText(a.request.Fingerprint)
+		}
 		fields["refusal"], fields["retry_after_ms"] = string(r.Refusal), r.RetryAfter.Milliseconds()
 	}
 	if a.request.Program != "" {
@@ -284,7 +301,7 @@
 func (h *Host) response(o dispatch.Outcome) AdmitResponse {
 	r := AdmitResponse{Target: o.Target, Refusal: o.Refusal, RetryAfter: o.RetryAfter, Waited: o.Waited, Cached: o.Cached, Reason: o.Reason}
 	if t, ok := h.options.View().Target(o.Target); ok {
-		r.Address, r.Software = t.Address, t.Software
+		r.Address, r.Software, r.StartedUnixMS = t.Address, t.Software, t.StartedUnixMS
 	}
 	if rate, ok := h.dispatcher.TargetRate(o.Target); ok {
 		r.RateLimit = &rate
@@ -310,11 +327,17 @@
 
 // done ends a request that ran at a target, or one whose caller disconnected while it
 // was queued. The caller holds h.mu.
-func (h *Host) done(r DoneReport) {
+func (h *Host) done(entry string, r DoneReport) {
 	if r.Settle != nil {
 		h.batcher.add(operation{settle: r.Settle})
 	}
 	if r.Target != "" {
+		switch r.Result {
+		case dispatch.Completed, dispatch.Failed:
+			h.recordCompletion(r)
+		case dispatch.Unreachable:
+			h.recordCrashes(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
+		}
 		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
 		return
 	}
@@ -360,6 +383,7 @@
 	h.answerParked()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.dispatcher.Tick(bootclock.Now()))
+		h.repeatChecks()
 	}
 }
 
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -43,6 +43,7 @@
 	quorum  *quorum.Quorum
 	host    *Host
 	stop    context.CancelFunc
+	view    atomic.Pointer[registry.View]
 
 	mu sync.Mutex
 	// stores are the store VMs that serve histories, and copied the turns that they were
@@ -67,6 +68,16 @@
 	return turns, nil
 }
 
+// setTargets adds targets to the catalog.
+func (s *testStore) setTargets(ids ...string) {
+	view := *s.view.Load()
+	for _, id := range ids {
+		view.Targets = append(view.Targets, catalog.Target{ID: id, StartedUnixMS: 1, Service: "s", Address: id + ":1", Slots: 9, State: catalog.Ready})
+	}
+	s.view.Store(&view)
+	s.host.Update(&view)
+}
+
 // setStores replaces the store VMs that serve histories.
 func (s *testStore) setStores(stores ...history.Store) {
 	s.mu.Lock()
@@ -86,9 +97,9 @@
 		Dial: func(_ context.Context, address string) (rpc.Caller, error) { return pool.CallerFor(address), nil },
 	})
 	require.NoError(t, err)
-	view := &registry.View{Revision: 1, Targets: []catalog.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", Software: "v1", Slots: 1, State: catalog.Ready}}}
+	s.view.Store(&registry.View{Revision: 1, Targets: []catalog.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", Software: "v1", Slots: 1, State: catalog.Ready}}})
 	s.host = New(Options{
-		Quorum: s.quorum, Machine: machine, View: func() *registry.View { return view }, Stores: s.historyStores, Copies: 2, Copier: s,
+		Quorum: s.quorum, Machine: machine, View: s.view.Load, Stores: s.historyStores, Copies: 2, Copier: s,
 		Log: discardLogger(), Metrics: gometrics.NewRegistry(),
 	})
 	s.host.Register(s.server)
@@ -302,6 +313,7 @@
 	sent.Target, sent.Stream, sent.Continues, sent.Resumes = "t", true, true, "first"
 	sent.Origin = &dispatch.Origin{Service: "s", Software: "v1"}
 	sent.Parts = []dispatch.Part{{ID: "p", Tokens: 7}}
+	sent.Fingerprint = 1 << 63
 	sent.Limits = dispatch.Limits{Version: 3, RatePerSecond: 1.5, Burst: 2}
 	message, err := encode(kindAdmit, &sent)
 	require.NoError(t, err)
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -61,6 +61,15 @@
 	})
 }
 
+// entryHost returns the host of the entry.
+func (l *link) entryHost() string {
+	address := l.conn.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 // sendNotLeader names the leader, as far as this VM knows it.
 func (l *link) sendNotLeader() {
 	_, leader, _ := l.host.options.Quorum.Leader()
@@ -178,13 +187,19 @@
 		if err := compact.Unmarshal(payload, &r); err != nil {
 			return err
 		}
-		h.done(r)
+		h.done(l.entryHost(), r)
 	case kindTargetRates:
 		var rates []TargetRate
 		if err := compact.Unmarshal(payload, &rates); err != nil {
 			return err
 		}
 		h.recordRates(rates)
+	case kindLosses:
+		var losses []LossReport
+		if err := compact.Unmarshal(payload, &losses); err != nil {
+			return err
+		}
+		h.recordLosses(l.entryHost(), losses)
 	case kindOrigins:
 		var origins []streamOrigin
 		if err := compact.Unmarshal(payload, &origins); err != nil {
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -10,6 +10,7 @@
 
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/server/compact"
 )
 
@@ -43,6 +44,15 @@
 	Settles     []ledger.Settle
 }
 
+// historyCommand is the form of a command in logs of releases without quarantine.
+type historyCommand struct {
+	UnixSeconds     int64
+	Reserves        []ledger.Reserve
+	Settles         []ledger.Settle
+	Keeps           []history.Keep
+	RetiredStorages []string
+}
+
 // decodeCommand decodes a command of this or of an earlier release.
 func decodeCommand(data []byte) (ledger.Command, error) {
 	var c ledger.Command
@@ -50,6 +60,10 @@
 	if err == nil {
 		return c, nil
 	}
+	var second historyCommand
+	if compact.Unmarshal(data, &second) == nil {
+		return ledger.Command{UnixSeconds: second.UnixSeconds, Reserves: second.Reserves, Settles: second.Settles, Keeps: second.Keeps, RetiredStorages: second.RetiredStorages}, nil
+	}
 	var first firstCommand
 	if compact.Unmarshal(data, &first) != nil {
 		return c, err
@@ -97,6 +111,14 @@
 	read(m.state.Turns(), m.state.UnixSeconds())
 }
 
+// readSuspects calls read with the requests that have ended targets. read must not keep or
+// change them.
+func (m *Machine) readSuspects(read func(*quarantine.Records)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	read(m.state.Suspects())
+}
+
 const (
 	// maxBatchOperations bounds the number of operations in one log entry.
 	maxBatchOperations = 256
@@ -106,12 +128,13 @@
 	proposeTimeout = time.Second
 )
 
-// operation is one change of the ledger. Exactly one of reserve, settle, keep and
-// retiredStorage is set.
+// operation is one change of the ledger. Exactly one of reserve, settle, keep, quarantine
+// and retiredStorage is set.
 type operation struct {
 	reserve        *ledger.Reserve
 	settle         *ledger.Settle
 	keep           *history.Keep
+	quarantine     *quarantine.Change
 	retiredStorage string
 	// onOutcome receives the outcome: whether a reservation is covered or a keep was
 	// accepted. It may be nil for a settlement.
@@ -183,13 +206,15 @@
 			command.Settles = append(command.Settles, *op.settle)
 		case op.keep != nil:
 			command.Keeps = append(command.Keeps, *op.keep)
+		case op.quarantine != nil:
+			command.Quarantine = append(command.Quarantine, *op.quarantine)
 		default:
 			command.RetiredStorages = append(command.RetiredStorages, op.retiredStorage)
 		}
 	}
 	result, err := b.commit(ctx, command)
 	if err != nil {
-		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles), "keeps": len(command.Keeps)}).WithError(err).Warn("batch not confirmed")
+		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles), "keeps": len(command.Keeps), "quarantine": len(command.Quarantine)}).WithError(err).Warn("batch not confirmed")
 	}
 	for _, op := range batch {
 		accepted := err == nil
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -52,6 +52,8 @@
 	kindTargetRates
 	// kindOrigins repeats the origins of streams to a new leader.
 	kindOrigins
+	// kindLosses reports lost responses, and repeats them to a new leader.
+	kindLosses
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -86,8 +88,10 @@
 	// Cached is the number of prompt tokens that the target is expected to have
 	// cached.
 	Cached int64
-	// Software is the version of the target's software.
-	Software string
+	// Software is the version of the target's software, and StartedUnixMS the start of its
+	// process in Unix milliseconds.
+	Software      string
+	StartedUnixMS int64
 	// Reason explains the choice of the target, for logs.
 	Reason string
 	// Holders are the storages that hold the record of the previous turn.
--- a/server/ledger/origins.go
+++ b/server/ledger/origins.go
@@ -73,5 +73,8 @@
 			return err
 		}
 	}
+	if losses := c.losses.reports(); len(losses) > 0 {
+		return l.send(kindLosses, losses)
+	}
 	return nil
 }
--- /dev/null
+++ b/server/ledger/quarantine_test.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/quarantine"
+	"hemlockvale.dev/server/compact"
+)
+
+// crashFingerprint identifies the request that ends targets.
+const crashFingerprint = 1<<63 + 7
+
+// lossOf reports that a target at an address ended while it ran the request.
+func lossOf(n int, address string) LossReport {
+	return LossReport{Request: fmt.Sprint("lost ", n), Loss: quarantine.Loss{
+		Content:     quarantine.Content{Organisation: "o", Fingerprint: crashFingerprint},
+		Incarnation: quarantine.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}, Address: address, Ran: time.Millisecond, Reset: true,
+	}}
+}
+
+// crashingRequest is an admission request with the content that ends targets.
+func crashingRequest(id string) AdmitRequest {
+	r := AdmitRequest{}
+	r.ID, r.Service, r.Organisation, r.Fingerprint, r.TimeLeft = id, "s", "o", crashFingerprint, time.Second
+	return r
+}
+
+// awaitRefusal sends the request until it is refused or granted, as want says.
+func awaitRefusal(t *testing.T, c *Client, want dispatch.Refusal) {
+	t.Helper()
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		id := fmt.Sprint("try ", want, n)
+		response, err := c.Admit(t.Context(), crashingRequest(id))
+		if response.Target != "" {
+			c.Done(DoneReport{ID: id, Target: response.Target, Result: dispatch.Abandoned})
+		}
+		return err == nil && response.Refusal == want
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// TestQuarantineOutlivesTheLeader guards against a leader that forgets which request has
+// ended targets when it restarts, and against a crash that is lost with the leader before it
+// is known.
+func TestQuarantineOutlivesTheLeader(t *testing.T) {
+	dir := t.TempDir()
+	s := startStore(t, dir)
+	s.awaitLeader(t)
+	var address atomic.Value
+	address.Store(s.address)
+	addresses := func() []string { return []string{address.Load().(string)} }
+	losing, other := startClient(t, addresses), startClient(t, addresses)
+	// The catalog lists targets t0, t1 and t2, whose processes have ended.
+	s.setTargets("t0", "t1", "t2")
+	_, err := losing.Admit(t.Context(), crashingRequest("first"))
+	require.NoError(t, err)
+	for n := range quarantine.Threshold - 1 {
+		losing.ReportLoss(lossOf(n, "127.0.0.1:1"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return s.ended(t) == quarantine.Threshold-1 }, 5*time.Second, 10*time.Millisecond)
+	s.stop()
+	losing.ReportLoss(lossOf(quarantine.Threshold-1, "127.0.0.1:1"))
+	time.Sleep(leaseDuration)
+
+	s = startStore(t, dir)
+	s.awaitLeader(t)
+	s.setTargets("t0", "t1", "t2")
+	address.Store(s.address)
+	_, err = losing.Admit(t.Context(), crashingRequest("second"))
+	require.NoError(t, err)
+	awaitRefusal(t, other, Quarantined)
+
+	content, err := json.Marshal(quarantine.Content{Organisation: "o", Fingerprint: crashFingerprint})
+	require.NoError(t, err)
+	_, err = s.host.handleClearQuarantine(t.Context(), content)
+	require.NoError(t, err)
+	awaitRefusal(t, other, "")
+}
+
+// ended returns the number of targets that the request has ended, as operators see it.
+func (s *testStore) ended(t *testing.T) int {
+	t.Helper()
+	response, err := s.host.handleQuarantine(context.Background(), nil)
+	require.NoError(t, err)
+	for _, suspect := range response.(QuarantineResponse).Suspects {
+		if suspect.Fingerprint == crashFingerprint && suspect.FingerprintText == "8000000000000007" {
+			return suspect.Ended
+		}
+	}
+	return 0
+}
+
+// TestTargetsThatListenHaveNotEnded guards against a request that is held back because an
+// entry lost its connections to sound targets.
+func TestTargetsThatListenHaveNotEnded(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	s.setTargets("t0", "t1", "t2", "t3")
+	_, err := c.Admit(t.Context(), crashingRequest("first"))
+	require.NoError(t, err)
+	for n := range quarantine.Threshold + 1 {
+		// The address of the store VM itself stands for that of a target.
+		c.ReportLoss(lossOf(n, s.address))
+		c.Done(DoneReport{ID: "other", Target: fmt.Sprint("t", n), Result: dispatch.Unreachable})
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Zero(t, s.ended(t))
+	awaitRefusal(t, c, "")
+}
+
+// TestLossReportsKeepTheirFields guards against an encoding that loses a field.
+func TestLossReportsKeepTheirFields(t *testing.T) {
+	sent := []LossReport{lossOf(1, "a:1")}
+	sent[0].Age, sent[0].Reporter = time.Second, "b"
+	data, err := compact.Marshal(sent)
+	require.NoError(t, err)
+	var got []LossReport
+	require.NoError(t, compact.Unmarshal(data, &got))
+	assert.Equal(t, sent, got)
+
+	known := knownLosses{}
+	for n := range 2 * maxKnownLosses {
+		known.add(lossOf(n, ""))
+	}
+	assert.Len(t, known.reports(), maxKnownLosses)
+	known.list[0].reportedAt = time.Now().Add(-2 * lossRetention)
+	assert.Len(t, known.reports(), maxKnownLosses-1)
+}
