Entries that have lost their links pass requests to entries that have them

Callers saw: at an entry without links to targets, requests that hung until their callers left, or ended without any target, for as long as the cut lasted; the directory went on to name the entry.

Cause: an entry knew targets that are up or down and no path of its own, had nobody to pass requests to, and stayed listed. The leader took its reports for properties of the targets.

Ruled out: TCP_USER_TIMEOUT, which ends idle connections sooner, not later.

The fix: coord/reach tells from connections and responses which targets a VM reaches, with a bounded number of attempts and none while nothing fails; server/relay offers requests to other entries before anything is sent; control lists no isolated entries; the leader places by reachability and ignores what isolated entries say of targets.

The test codec's header Expect is renamed, because net/http servers answer it with 417.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -125,6 +125,14 @@
 		d.refund(r.Organisation)
 		return Outcome{ID: r.ID, Refusal: NoTarget, RetryAfter: d.withJitter(noTargetRetryAfter)}
 	}
+	if len(r.Unreachable) > 0 && !d.hasReachableTarget(&r) {
+		if d.hasHealthyTarget(now, &r) {
+			d.refund(r.Organisation)
+			return Outcome{ID: r.ID, Refusal: PathLost, RetryAfter: d.withJitter(noTargetRetryAfter)}
+		}
+		// Nobody seems to reach the targets, so the sending VM may as well try.
+		r.Unreachable = nil
+	}
 	w := newWaitingRequest(now, r, d.programs.record(now, &r))
 	if tokenAt > now {
 		w.tokenAt = tokenAt
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -38,11 +38,15 @@
 // of the best class are busy: the request waits for a healthy target instead of losing
 // time at one that is probably down.
 func (d *Dispatcher) choose(now time.Duration, r *Request, prompt, need int64) placement.Decision {
+	if len(r.Unreachable) > 0 && !d.hasReachableTarget(r) {
+		// The targets that it waited for have left.
+		r.Unreachable = nil
+	}
 	best := d.bestClass(now, r)
 	median := d.median(now, r.Service)
 	d.candidates = d.candidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
-		if !r.allows(t) || t.classFor(now, r) != best || !t.hasCapacity(now, need) {
+		if !r.allows(t) || !r.reaches(t) || t.classFor(now, r) != best || !t.hasCapacity(now, need) {
 			continue
 		}
 		c := t.candidate(r)
@@ -57,7 +61,7 @@
 func (d *Dispatcher) bestClass(now time.Duration, r *Request) targetClass {
 	best := unusable
 	for _, t := range d.targetsByService[r.Service] {
-		if r.allows(t) {
+		if r.allows(t) && r.reaches(t) {
 			best = min(best, t.classFor(now, r))
 		}
 	}
@@ -73,6 +77,17 @@
 	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
 }
 
+// hasReachableTarget reports whether the sending VM can reach a target that may get the
+// request.
+func (d *Dispatcher) hasReachableTarget(r *Request) bool {
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && r.reaches(t) && !t.Draining })
+}
+
+// hasHealthyTarget reports whether other VMs reach a target that may get the request.
+func (d *Dispatcher) hasHealthyTarget(now time.Duration, r *Request) bool {
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && t.classFor(now, r) <= excluded })
+}
+
 // median returns the median unit time of a service's targets, which is recomputed
 // every medianValidity.
 func (d *Dispatcher) median(now time.Duration, service string) float64 {
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -26,6 +26,9 @@
 	// time.
 	turnaround         = 6 * time.Millisecond
 	turnaroundHeadroom = 2.5
+	// servingTime is how long after a complete answer a target is not suspected because one
+	// VM can't connect to it.
+	servingTime = 300 * time.Millisecond
 	// brokenLimit is the number of consecutive broken answers that make a target
 	// suspect.
 	brokenLimit = 3
@@ -46,6 +49,8 @@
 	failures     int
 	// broken is the number of consecutive broken answers.
 	broken int
+	// completedAt is when the latest answer was complete; 0 if there was none.
+	completedAt time.Duration
 	// fullUntil is when the pause after a refusal as full ends.
 	fullUntil time.Duration
 	// rate is nil while the target states no rate limit.
@@ -119,11 +124,16 @@
 func (t *target) observe(now time.Duration, r Result) {
 	switch r {
 	case Completed, Failed:
-		t.failures, t.broken, t.suspectUntil = 0, 0, 0
+		t.failures, t.broken, t.suspectUntil, t.completedAt = 0, 0, 0, now
 	case NotRun:
 		t.fullUntil = now + fullPause
-	case Unreachable, WrongTarget:
+	case WrongTarget:
 		t.markSuspect(now)
+	case Unreachable:
+		// The path of one VM may be broken while others are being served.
+		if t.completedAt == 0 || now >= t.completedAt+servingTime {
+			t.markSuspect(now)
+		}
 	case Broken:
 		t.broken++
 		if t.broken >= brokenLimit {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -15,7 +15,10 @@
 //   - A target that is draining or gone gets no new grant.
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Target describes a target as the catalog records it.
 type Target struct {
@@ -107,6 +110,8 @@
 	Resumes string  `json:"rs,omitempty"`
 	// Exclude lists the ids of targets that have already failed to run this request.
 	Exclude []string `json:"x,omitempty"`
+	// Unreachable lists the ids of targets that the sending VM can't reach.
+	Unreachable []string `json:"ur,omitempty"`
 	// DataCentre is the data centre of the sending VM.
 	DataCentre string `json:"d,omitempty"`
 }
@@ -122,6 +127,9 @@
 	return r.Target == "" || r.Target == t.ID
 }
 
+// reaches reports whether the sending VM can reach a target.
+func (r *Request) reaches(t *target) bool { return !slices.Contains(r.Unreachable, t.ID) }
+
 func (r *Request) promptTokens() int64 {
 	total := int64(0)
 	for _, p := range r.Parts {
@@ -144,6 +152,9 @@
 	// OriginUnknown means that it is not known any more which software began the stream.
 	// The caller has to start over.
 	OriginUnknown Refusal = "origin_unknown"
+	// PathLost means that there are targets for the request, but the sending VM can reach
+	// none of them. Another VM may be able to.
+	PathLost Refusal = "path_lost"
 	// Overloaded means that no target is expected to be free before the caller's
 	// time runs out.
 	Overloaded Refusal = "overloaded"
@@ -188,6 +199,9 @@
 	WrongTarget Result = "wrong_target"
 	// Unreachable means that no connection could be made.
 	Unreachable Result = "unreachable"
+	// NoPath means that no connection could be made by a VM that has lost the links to all
+	// targets. It says nothing about the target.
+	NoPath Result = "no_path"
 	// Broken means that the answer was lost or incomplete.
 	Broken Result = "broken"
 	// Abandoned means that the caller disconnected or its time ran out.
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -38,6 +38,9 @@
 	if x.service.Engine != nil {
 		request.Parts, request.OutputTokens = x.call.Parts, x.call.OutputTokens
 	}
+	if !x.ignorePaths {
+		request.Unreachable = x.entry.paths.unreachable(x.service.Name)
+	}
 	x.describeStream(&request)
 	return request
 }
@@ -75,10 +78,19 @@
 	return response, response.Refusal == "" && response.Address != ""
 }
 
-// admit requests a target from the ledger. It returns false, after responding to
-// the caller, if the ledger grants none.
+// admit requests a target from the ledger. If other entries reach the targets, but this one
+// doesn't, it passes the request on. It returns false, after responding to the caller, if
+// the ledger grants no target.
 func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
 	response, err := x.askLedger(x.newAdmitRequest())
+	if err == nil && response.Refusal == dispatch.PathLost {
+		x.attempt++
+		if x.relay() {
+			return response, false
+		}
+		x.ignorePaths = true
+		response, err = x.askLedger(x.newAdmitRequest())
+	}
 	if err != nil {
 		x.settle()
 		x.failRequest()
@@ -125,9 +137,10 @@
 // startConfirmation waits for the reservation to become durable in a goroutine,
 // so that the target can start to run the request in the meantime.
 func (x *exchange) startConfirmation() {
-	if x.reservation == nil || x.attempt > 0 {
+	if x.reservation == nil || x.confirmationStarted {
 		return
 	}
+	x.confirmationStarted = true
 	x.confirmation = make(chan error, 1)
 	confirmation, ctx, reservation := x.confirmation, x.ctx, *x.reservation
 	go func() { confirmation <- x.entry.options.Ledger.Confirm(ctx, reservation) }()
@@ -163,10 +176,22 @@
 	return x.events * x.service.Engine.TokensPerEvent
 }
 
+// reportedResult returns the result for the ledger. What fails at a VM that has lost its
+// links does not count against the target.
+func (x *exchange) reportedResult(r dispatch.Result) dispatch.Result {
+	if r != dispatch.Unreachable && r != dispatch.Broken || !x.entry.paths.isolated() {
+		return r
+	}
+	if r == dispatch.Unreachable {
+		return dispatch.NoPath
+	}
+	return dispatch.Abandoned
+}
+
 // reportDone sends the ledger a done report about the request at one target. The
 // final report also settles the reservation.
 func (x *exchange) reportDone(target string, result dispatch.Result, final bool) {
-	report := ledgerhost.DoneReport{ID: x.call.ID, Target: target, Result: result, Units: 1}
+	report := ledgerhost.DoneReport{ID: x.call.ID, Target: target, Result: x.reportedResult(result), Units: 1}
 	if x.service.Engine != nil {
 		report.Units = x.deliveredTokens()
 	}
@@ -174,5 +199,5 @@
 		report.Settle = ledgerhost.Settlement(x.reservation, x.deliveredTokens())
 	}
 	x.entry.options.Ledger.Done(report)
-	x.record.outcomes = append(x.record.outcomes, target+":"+string(result))
+	x.record.outcomes = append(x.record.outcomes, outcome{target, result})
 }
--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -105,12 +106,31 @@
 type connPool struct {
 	// opened counts the connections that were established.
 	opened atomic.Int64
+	// connect makes a TCP connection to a target.
+	connect func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-func newConnPool() *connPool { return &connPool{idle: make(map[string][]*conn)} }
+func newConnPool(connect func(ctx context.Context, address string) (net.Conn, error)) *connPool {
+	if connect == nil {
+		connect = connectTCP
+	}
+	return &connPool{connect: connect, idle: make(map[string][]*conn)}
+}
+
+// connectTCP connects to a target.
+func connectTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// newConn returns a connection on which requests can be sent.
+func newConn(raw net.Conn) *conn {
+	limiter := &headLimiter{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
+}
 
 // get returns an idle connection to the target or dials a new one.
 func (p *connPool) get(ctx context.Context, target, address string) (*conn, error) {
@@ -124,14 +144,34 @@
 		}
 		c.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	return p.dial(ctx, address)
+}
+
+// dial makes a new connection to a target.
+func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
+	raw, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	p.opened.Add(1)
-	limiter := &headLimiter{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
+	return newConn(raw), nil
+}
+
+// hasIdle reports whether there is an idle connection to a target that it has not closed.
+func (p *connPool) hasIdle(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[target], func(c *conn) bool { return time.Now().Before(c.idleUntil) && c.isIdle() })
+}
+
+// drop closes the idle connections to a target.
+func (p *connPool) drop(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[target] {
+		c.Close()
+	}
+	delete(p.idle, target)
 }
 
 // takeIdle removes and returns the most recently used idle connection to the
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -21,6 +21,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -40,6 +41,7 @@
 	ledgerhost "hemlockvale.dev/server/ledger"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/registry"
+	"hemlockvale.dev/server/relay"
 )
 
 const (
@@ -99,8 +101,18 @@
 	HistoryCopies int
 	// HeaderCodec translates the headers of callers and targets.
 	HeaderCodec HeaderCodec
-	// DataCentre is the data centre of this VM.
-	DataCentre string
+	// DataCentre is the data centre of this VM, and Address its RPC address.
+	DataCentre, Address string
+	// Connect makes a TCP connection to a target; nil for the default.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
+	// Peers returns the RPC addresses of entries that can reach targets; nil if requests are
+	// never relayed.
+	Peers func(ctx context.Context) ([]string, error)
+	// Stopping reports whether a planned stop has begun; nil if there is none.
+	Stopping func() bool
+	// OnIsolation is called when this VM has lost the links to all targets, and when it has
+	// them back; it may be nil.
+	OnIsolation func(isolated bool)
 	// Log receives one line for each request.
 	Log *logrus.Entry
 	// Metrics receives request counters and latencies.
@@ -111,12 +123,18 @@
 type Entry struct {
 	options Options
 	pool    *connPool
+	paths   *paths
+	peers   peers
 	active  atomic.Int64
+	// relayed counts the requests in progress that other entries have passed on, and offers
+	// those that this one has offered to others so far.
+	relayed, offers atomic.Int64
 }
 
 // New returns an entry. Run must be called to close its expired idle connections.
 func New(options Options) *Entry {
-	e := &Entry{options: options, pool: newConnPool()}
+	e := &Entry{options: options, pool: newConnPool(options.Connect)}
+	e.paths = newPaths(e)
 	gometrics.NewRegisteredFunctionalGauge("forward_active", options.Metrics, e.active.Load)
 	gometrics.NewRegisteredFunctionalGauge("forward_connections_opened", options.Metrics, e.pool.opened.Load)
 	return e
@@ -153,9 +171,16 @@
 	reservation *ledger.Reserve
 	// confirmation receives the outcome of the reservation. It is nil if the request has
 	// no reservation or if the reservation is known to be durable.
-	confirmation    chan error
+	confirmation        chan error
+	confirmationStarted bool
+	// attempt is the number of the latest admission.
 	attempt         int
 	excludedTargets []string
+	// offer is the offer with which another entry passed the request on; nil if there is none.
+	offer *relay.Offer
+	// ignorePaths is set once no other entry takes the request, so that targets are tried
+	// that seem to be unreachable.
+	ignorePaths bool
 	// mayHaveRun is set when a target gets the request and does not report that it did
 	// not run it. It is never cleared: a later target knows nothing about an earlier one.
 	mayHaveRun bool
@@ -183,7 +208,13 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	x := &exchange{entry: e, view: e.awaitView(r.Context()), writer: w, request: r, startedAt: bootclock.Now()}
+	x := &exchange{entry: e, view: e.awaitView(r.Context()), writer: w, request: r, startedAt: bootclock.Now(), offer: relay.OfferFrom(r.Context())}
+	if x.offer != nil {
+		e.relayed.Add(1)
+		defer e.relayed.Add(-1)
+		x.startedAt -= x.offer.Elapsed
+		x.attempt, x.mayHaveRun = x.offer.Attempt, x.offer.Runs > 0
+	}
 	defer x.finish()
 	if !x.prepare() {
 		return
@@ -363,9 +394,16 @@
 }
 
 // run requests admission and forwards the request, again at another target after a
-// failure, until the caller has a response.
+// failure, until the caller has a response. If this VM has lost its links, another entry
+// does so.
 func (x *exchange) run() {
-	for {
+	for placements := 1; ; placements++ {
+		if !x.ignorePaths && x.entry.paths.isolated() {
+			if x.relay() {
+				return
+			}
+			x.ignorePaths = true
+		}
 		grant, ok := x.admit()
 		if !ok {
 			return
@@ -375,7 +413,8 @@
 			return
 		}
 		x.attempt++
-		if x.attempt >= maxPlacements || x.timeLeft() <= 0 {
+		x.entry.paths.awaitSurvey(x.ctx)
+		if placements >= maxPlacements || x.timeLeft() <= 0 {
 			x.settle()
 			x.failRequest()
 			return
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -45,7 +45,7 @@
 
 func (testCodec) EncodeCall(h http.Header, c TargetCall) {
 	h.Del("Key")
-	h.Set("Expect", c.Target)
+	h.Set("Expected-Target", c.Target)
 	h.Set("Last", c.LastEventID)
 }
 
--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -9,6 +9,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/server/bootclock"
 )
 
@@ -24,8 +25,10 @@
 	admitTime time.Duration
 	// timeToHeader is the time until the response header was sent to the caller.
 	timeToHeader time.Duration
-	// outcomes lists the result at each target as TARGET:RESULT.
-	outcomes []string
+	// outcomes lists the results at targets in order.
+	outcomes []outcome
+	// relayedTo is the address of the entry that took the request; empty if none did.
+	relayedTo string
 	// sends counts the requests that were sent to targets; a broken stream that is resumed
 	// is sent once more to the same target.
 	sends int
@@ -37,6 +40,21 @@
 	targetErr error
 }
 
+// outcome is the result of the request at one target.
+type outcome struct {
+	target string
+	result dispatch.Result
+}
+
+// outcomesText returns the outcomes as TARGET:RESULT, joined by commas.
+func (r *record) outcomesText() string {
+	texts := make([]string, len(r.outcomes))
+	for i, o := range r.outcomes {
+		texts[i] = o.target + ":" + string(o.result)
+	}
+	return strings.Join(texts, ",")
+}
+
 // finish writes the request's log line and updates the metrics. If the response is
 // incomplete, it panics with http.ErrAbortHandler, so that net/http closes the caller's
 // connection.
@@ -71,9 +89,15 @@
 		fields["last_event"], fields["resumes"] = x.call.LastEventID, x.call.Resumes
 	}
 	if len(x.record.outcomes) > 0 {
-		fields["targets"], fields["admit_ms"], fields["queued_ms"] = strings.Join(x.record.outcomes, ","), milliseconds(x.record.admitTime), milliseconds(x.record.queueTime)
+		fields["targets"], fields["admit_ms"], fields["queued_ms"] = x.record.outcomesText(), milliseconds(x.record.admitTime), milliseconds(x.record.queueTime)
 		fields["first_ms"], fields["sends"] = milliseconds(x.record.timeToHeader), x.record.sends
 	}
+	if x.record.relayedTo != "" {
+		fields["relayed_to"] = x.record.relayedTo
+	}
+	if x.offer != nil {
+		fields["relayed_from"] = x.offer.From
+	}
 	if x.record.rateLimit != nil {
 		fields["rate_limit"] = *x.record.rateLimit
 	}
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -54,6 +54,9 @@
 			x.failRequest()
 			return false
 		}
+		if result == dispatch.Broken {
+			x.entry.paths.doubt(grant.Target)
+		}
 		if result == dispatch.Broken && x.resumable() && resumed < maxResumes {
 			if next, ok := x.admitAgain(grant); ok {
 				grant = next
@@ -96,13 +99,7 @@
 // mayRetry reports whether the request may run at one more target. Only attempts
 // that may have run count against the route's limit.
 func (x *exchange) mayRetry() bool {
-	ran := 0
-	for _, outcome := range x.record.outcomes {
-		if strings.HasSuffix(outcome, ":"+string(dispatch.Broken)) {
-			ran++
-		}
-	}
-	return ran+1 < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
+	return x.runs()+1 < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
 }
 
 // errUnsigned is returned for a response with a status below 300 that does not carry the
@@ -117,6 +114,9 @@
 	}
 	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address)
 	if err != nil {
+		if x.ctx.Err() == nil {
+			x.entry.paths.failed(grant.Target, err)
+		}
 		return dispatch.Unreachable, err
 	}
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
@@ -139,6 +139,8 @@
 		return dispatch.Unreachable, info, false, err
 	}
 	x.unanswered, x.headReceived = true, false
+	w := x.entry.paths.await(grant.Target, c, x.route.Repeatable())
+	defer x.entry.paths.end(w)
 	if err != nil {
 		x.mayHaveRun = true
 		return dispatch.Broken, info, false, err
@@ -150,6 +152,8 @@
 	if err != nil {
 		return dispatch.Broken, info, false, err
 	}
+	x.entry.paths.end(w)
+	x.entry.paths.heard(grant.Target)
 	x.headReceived = true
 	x.observeLimit(info)
 	reusable = !response.Close
@@ -181,6 +185,10 @@
 		return
 	}
 	x.unanswered = false
+	if x.entry.paths.isolated() {
+		// The loss says something about the links of this VM, not about the target.
+		return
+	}
 	ended := x.ctx.Err() != nil || result == dispatch.Abandoned
 	if ended && x.headReceived {
 		return
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -96,6 +96,7 @@
 		if err != nil {
 			return dispatch.Broken, err
 		}
+		x.entry.paths.heard(x.granted.Target)
 		x.prepareKeep()
 		if err := x.awaitReservation(); err != nil {
 			return dispatch.Abandoned, err
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -253,8 +253,9 @@
 func (h *Host) finish(a *admission, r AdmitResponse) {
 	r.ID, r.Attempt, r.Holders = a.request.ID, a.request.Attempt, a.holders
 	a.response, a.finishedAt = &r, bootclock.Now()
-	if r.Refusal != "" && a.request.Attempt == 0 {
-		// After an earlier attempt, the entry settles what it has delivered.
+	if r.Refusal != "" && r.Refusal != dispatch.PathLost && a.request.Attempt == 0 {
+		// After an earlier attempt, the entry settles what it has delivered. A request
+		// whose path is lost is admitted again for another entry.
 		h.releaseReservation(a)
 	}
 	a.link.send(kindAdmitResponse, &r)
@@ -335,7 +336,10 @@
 		switch r.Result {
 		case dispatch.Completed, dispatch.Failed:
 			h.recordCompletion(r)
-		case dispatch.Unreachable:
+		case dispatch.Unreachable, dispatch.NoPath:
+			h.options.Log.WithFields(logrus.Fields{"event": "target_unreachable", "request": r.ID, "target": r.Target, "entry": entry, "entry_isolated": r.Result == dispatch.NoPath}).Info("an entry could not connect to a target")
+		}
+		if r.Result == dispatch.Unreachable {
 			h.recordCrashes(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
 		}
 		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -19,6 +19,7 @@
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/quorum"
 	"hemlockvale.dev/server/registry"
+	"hemlockvale.dev/server/relay"
 	"hemlockvale.dev/server/settings"
 )
 
@@ -200,14 +201,14 @@
 
 // runEntry runs the entry role, which admits and forwards the requests of callers.
 func (p *process) runEntry(ctx context.Context) error {
-	var draining atomic.Bool
+	var draining, isolated atomic.Bool
 	taskCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	follower := registry.NewFollower(registry.FollowerOptions{
 		Pool: p.pool, Seeds: p.seeds, Log: p.Log,
 		Self: func() registry.VM {
 			vm := p.describeVM()
-			vm.Draining = draining.Load()
+			vm.Draining, vm.Isolated = draining.Load(), isolated.Load()
 			return vm
 		},
 	})
@@ -217,9 +218,17 @@
 	e := forward.New(forward.Options{
 		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
 		HistoryStores: follower.HistoryStores, HistoryCopies: p.historyCopies(), HeaderCodec: p.Adapter.HeaderCodec(),
-		DataCentre: p.Settings.VM.DataCentre, Log: p.Log, Metrics: p.metrics,
+		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stopping: draining.Load,
+		OnIsolation: func(lost bool) {
+			isolated.Store(lost)
+			follower.Report(taskCtx)
+		},
+		Log: p.Log, Metrics: p.metrics,
 	})
 	go e.Run(taskCtx)
+	relays := relay.NewServer(e, e.AcceptRelay, p.Log)
+	p.startTask("relay_server", relays.Serve)
+	p.rpc.HandleConn(relay.Preface, relays.HandleConn)
 	callers, err := p.serveGracefully("callers.address", p.Settings.Callers.Address, e)
 	if err != nil {
 		return err
@@ -232,17 +241,20 @@
 	draining.Store(true)
 	p.Log.WithFields(logrus.Fields{"event": "stopping", "active": e.Active()}).Info("planned stop started")
 	follower.Report(taskCtx)
-	return errors.Join(failure, p.drain(e, callers, p.Settings.Callers))
+	return errors.Join(failure, p.drain(e, callers, relays, p.Settings.Callers))
 }
 
 // drain serves callers until no address list that names this entry is in use, and then
-// closes connections as they become idle, up to the end of the grace period.
-func (p *process) drain(e *forward.Entry, callers *graceful.Conns, c settings.Callers) error {
+// closes connections as they become idle, up to the end of the grace period. The requests of
+// other entries end in the same time.
+func (p *process) drain(e *forward.Entry, callers *graceful.Conns, relays *relay.Server, c settings.Callers) error {
 	deadline := time.Now().Add(c.StopGrace() - stopMargin)
 	time.Sleep(min(addressListLifetimes*c.AddressLifetime()+directoryDelay, c.StopGrace()/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Stop(ctx); err != nil {
+	relaysErr := make(chan error, 1)
+	go func() { relaysErr <- relays.Stop(ctx) }()
+	if err := errors.Join(callers.Stop(ctx), <-relaysErr); err != nil {
 		p.Log.WithFields(logrus.Fields{"event": "stop_incomplete", "active": e.Active()}).WithError(err).Warn("requests were still in progress at the end of the grace period")
 	}
 	return nil
--- a/server/registry/entries.go
+++ b/server/registry/entries.go
@@ -1,12 +1,17 @@
 package registry
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hemlockvale.dev/server/rpc"
 )
 
 // ErrNoEntries reports that this control VM cannot list entries now, because it knows
@@ -24,6 +29,8 @@
 	// are listed. Of more, half are listed: each then has enough requests to keep its
 	// connections to targets open, and the others replace those that are lost.
 	minWarmEntries = 24
+	// maxPeers bounds the entries that are named to one that can't reach targets.
+	maxPeers = 8
 )
 
 // Entries returns the addresses that a caller in a data centre should use, and how
@@ -43,14 +50,53 @@
 	return addresses, g.options.AddressLifetime, nil
 }
 
+// handleEntries returns entries that can take the requests of one that can't reach targets.
+func (g *Registry) handleEntries(_ context.Context, params json.RawMessage) (any, error) {
+	var r EntriesRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, rpc.Errorf("bad_request", "entries: %v", err)
+	}
+	response := EntriesResponse{Addresses: []string{}}
+	for _, vm := range choosePeers(g.liveVMs("entry"), r.Node, r.DataCentre) {
+		response.Addresses = append(response.Addresses, vm.RPCAddress)
+	}
+	return response, nil
+}
+
+// choosePeers returns entries that can reach targets, in random order: those in the data
+// centre of the VM that asks if they are at least as many as the isolated ones there, and
+// otherwise all, so that the requests of many do not meet at a few.
+func choosePeers(vms []VM, node, dataCentre string) []VM {
+	var all, local []VM
+	isolated := 0
+	for _, vm := range vms {
+		switch {
+		case vm.Isolated && vm.DataCentre == dataCentre:
+			isolated++
+		case vm.Isolated || vm.Draining || vm.Node == node:
+		default:
+			all = append(all, vm)
+			if vm.DataCentre == dataCentre {
+				local = append(local, vm)
+			}
+		}
+	}
+	if len(local) > 0 && len(local) >= isolated {
+		all = local
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), maxPeers)]
+}
+
 // chooseEntries selects the entries in the caller's data centre if there are enough of
 // them, because traffic between data centres costs money, and otherwise all entries.
-// Draining entries are left out. If the selection is too long, a stable subset is
-// returned.
+// Draining entries are left out, and so are those that can't reach targets unless there are
+// no others. If the selection is too long, a stable subset is returned.
 func chooseEntries(vms []VM, dataCentre string) []VM {
+	someReach := slices.ContainsFunc(vms, func(vm VM) bool { return !vm.Draining && !vm.Isolated })
 	var selected, local []VM
 	for _, vm := range vms {
-		if vm.Draining {
+		if vm.Draining || vm.Isolated && someReach {
 			continue
 		}
 		selected = append(selected, vm)
--- a/server/registry/entries_test.go
+++ b/server/registry/entries_test.go
@@ -55,3 +55,37 @@
 		assert.LessOrEqual(t, float64(vms)/watchTimeoutFor(vms).Seconds(), 150.0, "watches per second at each control VM")
 	}
 }
+
+// withIsolated returns a copy of entries in which the first n can't reach targets.
+func withIsolated(vms []VM, n int) []VM {
+	vms = slices.Clone(vms)
+	for i := range n {
+		vms[i].Isolated = true
+	}
+	return vms
+}
+
+// TestIsolatedEntriesAreNotListed guards against callers that are sent to entries which
+// can't reach targets, and against an empty list when no entry can.
+func TestIsolatedEntriesAreNotListed(t *testing.T) {
+	others := entryVMs("b", 4, false)
+	for isolated, want := range map[int]int{0: 5, 1: 4, 2: 3, 3: 6, 5: 4} {
+		listed := chooseEntries(append(withIsolated(entryVMs("a", 5, false), isolated), others...), "a")
+		assert.Len(t, listed, want, "%d isolated", isolated)
+		assert.False(t, slices.ContainsFunc(listed, func(vm VM) bool { return vm.Isolated }))
+	}
+	assert.Len(t, chooseEntries(append(withIsolated(entryVMs("a", 5, false), 5), withIsolated(others, 4)...), "a"), 5)
+}
+
+// TestChoosePeers guards against an entry that is named to itself, to be stopped or without
+// links itself, and against a few entries that get the requests of all others.
+func TestChoosePeers(t *testing.T) {
+	others := entryVMs("b", 4, false)
+	for isolated, want := range map[int]int{1: 4, 2: 3, 3: 6, 5: 4} {
+		peers := choosePeers(append(withIsolated(entryVMs("a", 5, false), isolated), others...), "a-0", "a")
+		assert.Len(t, peers, want, "%d isolated", isolated)
+		assert.False(t, slices.ContainsFunc(peers, func(vm VM) bool { return vm.Isolated || vm.Node == "a-0" }))
+	}
+	assert.Empty(t, choosePeers(entryVMs("a", 9, true), "x", "a"))
+	assert.Len(t, choosePeers(entryVMs("a", 2500, false), "x", "a"), maxPeers)
+}
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -24,6 +24,8 @@
 	// MethodDocument reads the configuration document from the leader after a quorum
 	// has confirmed its leadership.
 	MethodDocument = "registry.document"
+	// MethodEntries returns entries that can reach targets.
+	MethodEntries = "registry.entries"
 	// MethodRetire asks the leader to move all replicas off a store VM.
 	MethodRetire = "registry.retire"
 )
@@ -53,6 +55,8 @@
 	CallerAddress string `json:"caller_address,omitempty"`
 	// Draining is set when the VM should get no new callers.
 	Draining bool `json:"draining,omitempty"`
+	// Isolated is set while an entry can't reach any target.
+	Isolated bool `json:"isolated,omitempty"`
 	// Started is the start time of the process in Unix nanoseconds. It identifies
 	// the incarnation.
 	Started int64 `json:"started"`
@@ -200,6 +204,19 @@
 	Done bool `json:"done"`
 }
 
+// EntriesRequest asks for entries that can reach targets.
+type EntriesRequest struct {
+	// Node is the id of the VM that asks, which is left out, and DataCentre is its data
+	// centre.
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+}
+
+// EntriesResponse holds RPC addresses of entries in random order.
+type EntriesResponse struct {
+	Addresses []string `json:"addresses"`
+}
+
 // DocumentResponse holds the document of the latest configuration, as the operator sent
 // it.
 type DocumentResponse struct {
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -125,6 +125,7 @@
 	s.Handle(MethodPropose, g.handlePropose)
 	s.Handle(MethodDocument, g.handleDocument)
 	s.Handle(MethodRetire, g.handleRetire)
+	s.Handle(MethodEntries, g.handleEntries)
 }
 
 // Run runs the leader's tasks, while this VM is the leader, until ctx ends.
--- a/server/registry/reports.go
+++ b/server/registry/reports.go
@@ -20,8 +20,8 @@
 	if previous != nil && previous.Started > vm.Started {
 		return
 	}
-	if previous == nil || previous.Started != vm.Started || previous.Draining != vm.Draining || previous.RPCAddress != vm.RPCAddress {
-		g.options.Log.WithFields(logrus.Fields{"event": "vm_seen", "node": vm.Node, "vm_role": vm.Role, "address": vm.RPCAddress, "draining": vm.Draining, "started": vm.Started}).Info("VM reported")
+	if previous == nil || previous.Started != vm.Started || previous.Draining != vm.Draining || previous.Isolated != vm.Isolated || previous.RPCAddress != vm.RPCAddress {
+		g.options.Log.WithFields(logrus.Fields{"event": "vm_seen", "node": vm.Node, "vm_role": vm.Role, "address": vm.RPCAddress, "draining": vm.Draining, "isolated": vm.Isolated, "started": vm.Started}).Info("VM reported")
 	}
 	if previous != nil && previous.Started == vm.Started && previous.Draining {
 		vm.Draining = true
