forward: a refusal that a target writes twice is no response to the next request

Reported by other operators: a target wrote an earlier refusal once more on a kept connection, and callers were told that requests did not run which a target had run or was running.

Cause: conn.receive took a response without an id, and one with the same id, for the response to the current request. A request that is sent again to the same target on a kept connection has the id of the refused one.

The fix: a request is not sent on a connection on which the target has refused the same id, and a response without an id counts only as the first one of a connection.

Ruled out by tests that pass before and after: the text or head of an error in the middle of a resumed stream, a head that is cut off at any byte, a response without a length that is reset, a stream that ends at any byte of an event, and the same through a relay.

--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -61,6 +61,9 @@
 	errNotSent = errors.New("request was not sent")
 	// errHeadTooLarge is returned for a response whose head exceeds maxHeadBytes.
 	errHeadTooLarge = errors.New("head of the response is too large")
+	// errNoID is returned for a response without an id on a connection that has carried
+	// others.
+	errNoID = errors.New("response on a kept connection carries no request id")
 	// errDiscardTooLarge is returned for a response that is closed instead of read to its
 	// end.
 	errDiscardTooLarge = errors.New("discarded response is too large")
@@ -99,6 +102,19 @@
 	// writeErr; it is nil if the body was written together with the header.
 	writeDone chan struct{}
 	writeErr  error
+	// served is the number of responses that were read, and refused holds the ids of the
+	// requests that the target refused on this connection.
+	served  int
+	refused []string
+}
+
+// maxRefusals bounds the refusals on one connection.
+const maxRefusals = 8
+
+// usableFor reports whether a request may be sent on the connection. A target may write an
+// earlier refusal once more, which would pass for the response to the same request.
+func (c *conn) usableFor(requestID string) bool {
+	return len(c.refused) < maxRefusals && !slices.Contains(c.refused, requestID)
 }
 
 // connPool holds idle connections by target. It never retries a request: the
@@ -132,14 +148,15 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
 }
 
-// get returns an idle connection to the target or dials a new one.
-func (p *connPool) get(ctx context.Context, target, address string) (*conn, error) {
+// get returns an idle connection to the target on which a request may be sent, or dials a new
+// one.
+func (p *connPool) get(ctx context.Context, target, address, requestID string) (*conn, error) {
 	for {
 		c := p.takeIdle(target)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleUntil) && c.isIdle() {
+		if time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
 			return c, nil
 		}
 		c.Close()
@@ -305,7 +322,9 @@
 }
 
 // receive reads the response to the request. It discards informational responses and
-// responses that carry the id of another request.
+// responses that carry the id of another request. A response without an id is taken for that
+// to this request only if it is the first one on the connection: it may be a second copy of
+// an earlier one.
 func (c *conn) receive(r *targetRequest, codec HeaderCodec) (*http.Response, ResponseInfo, error) {
 	request := &http.Request{Method: r.method}
 	for range maxResponsesRead {
@@ -317,8 +336,16 @@
 			continue
 		}
 		info := codec.DecodeResponse(response.StatusCode, response.Header)
-		if info.ID == r.id || info.ID == "" {
+		isFirst := c.served == 0
+		c.served++
+		switch {
+		case info.ID == r.id || info.ID == "" && isFirst:
+			if info.NotRun {
+				c.refused = append(c.refused, r.id)
+			}
 			return response, info, nil
+		case info.ID == "":
+			return nil, ResponseInfo{}, errNoID
 		}
 		if err := c.discard(response.Body); err != nil {
 			return nil, ResponseInfo{}, err
--- a/server/forward/isolation_test.go
+++ b/server/forward/isolation_test.go
@@ -208,6 +208,8 @@
 	delay time.Duration
 	// left counts the requests that were cancelled while they ran.
 	left *atomic.Int64
+	// brokenStreams is set while streams end inside their second event.
+	brokenStreams *atomic.Bool
 }
 
 func (g countingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -225,6 +227,11 @@
 	w.Header().Set("Signature", "s")
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		for n := 1; n <= 3; n++ {
+			if g.brokenStreams.Load() && n == 2 {
+				fmt.Fprint(w, "id: 2\nda")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
 			fmt.Fprint(w, eventText(n))
 			_ = http.NewResponseController(w).Flush()
 		}
@@ -257,7 +264,7 @@
 
 func startSite(t *testing.T, entries int, delay time.Duration) *site {
 	t.Helper()
-	s := &site{targets: countingTarget{mu: &sync.Mutex{}, runs: make(map[string]int), delay: delay, left: &atomic.Int64{}}, isolated: make([]atomic.Bool, entries)}
+	s := &site{targets: countingTarget{mu: &sync.Mutex{}, runs: make(map[string]int), delay: delay, left: &atomic.Int64{}, brokenStreams: &atomic.Bool{}}, isolated: make([]atomic.Bool, entries)}
 	var targets []catalog.Target
 	for n := range 6 {
 		server := httptest.NewServer(s.targets)
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -112,7 +112,7 @@
 	if left <= 0 {
 		return dispatch.Unreachable, errNotSent
 	}
-	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address)
+	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address, x.call.ID)
 	if err != nil {
 		if x.ctx.Err() == nil {
 			x.entry.paths.failed(grant.Target, err)
