Targets that state in a response that they leave get no further requests

Callers could see requests cut off at a target that had said in its responses that it leaves: nothing read that header, and the only source was control's catalog, which an entry may have lost.

The VM that hears it (signed by the target) sends that incarnation nothing more, whatever it is granted, resumes included; the grant is given back at once and the request placed elsewhere as one that did not run. An entry that relays takes the statement over from the one that heard it. If all targets of a service leave, requests are refused at once instead of waiting until their time is over.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -55,6 +55,17 @@
 	Sequence int64 `json:"sequence"`
 }
 
+// Incarnation identifies one run of a target's process.
+type Incarnation struct {
+	// Target is the id of the target.
+	Target string `json:"target"`
+	// StartedUnixMS is the start of the process in Unix milliseconds.
+	StartedUnixMS int64 `json:"started"`
+}
+
+// Incarnation returns the incarnation that the target describes.
+func (t Target) Incarnation() Incarnation { return Incarnation{t.ID, t.StartedUnixMS} }
+
 // equalExceptSequence reports whether two announcements differ at most in their
 // sequence.
 func (t Target) equalExceptSequence(other Target) bool {
--- a/coord/dispatch/path_test.go
+++ b/coord/dispatch/path_test.go
@@ -76,3 +76,23 @@
 	d.Done(later, "later", "t0", Unreachable, 0)
 	assert.True(t, d.targets["t0"].isSuspect(later))
 }
+
+// TestRefusedWhenAllTargetsLeave guards against requests that wait until their time is over
+// although all targets of their service leave.
+func TestRefusedWhenAllTargetsLeave(t *testing.T) {
+	d := New(0, 1)
+	list := targets(1, 1)
+	d.SetTargets(0, list)
+	waiting := false
+	for n := range 4 {
+		waiting = d.Admit(0, request(fmt.Sprint("r", n))).Waiting()
+	}
+	assert.True(t, waiting)
+	list[0].Draining = true
+	outcomes := d.SetTargets(time.Millisecond, list)
+	assert.NotEmpty(t, outcomes)
+	for _, o := range outcomes {
+		assert.Equal(t, NoTarget, o.Refusal)
+	}
+	assert.Equal(t, NoTarget, d.Admit(time.Millisecond, request("later")).Refusal)
+}
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -68,12 +68,9 @@
 	return best
 }
 
-// hasTarget reports whether a request may wait for a target: any target of its service, or
-// one that accepts requests if the request is pinned.
+// hasTarget reports whether a request may wait for a target: one that may get it accepts
+// requests.
 func (d *Dispatcher) hasTarget(r *Request) bool {
-	if !r.pinned() {
-		return len(d.targetsByService[r.Service]) > 0
-	}
 	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
 }
 
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -201,7 +201,7 @@
 	return time.Duration(burstFactor * float64(wait) / max(spareShare, minSpareShare))
 }
 
-// refuseWithoutTarget refuses a pinned request that waits for targets which are gone.
+// refuseWithoutTarget refuses a request that waits for targets which have left.
 func (d *Dispatcher) refuseWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
 	o := Outcome{ID: w.request.ID, Refusal: SoftwareGone, Waited: now - w.queuedAt}
 	if w.request.Origin == nil {
@@ -227,7 +227,7 @@
 			out = append(out, Outcome{ID: w.request.ID, Refusal: Expired, RetryAfter: d.withJitter(minRetryAfter), Waited: now - w.queuedAt})
 			continue
 		}
-		if w.request.pinned() && !d.hasTarget(&w.request) {
+		if !d.hasTarget(&w.request) {
 			d.refund(w.request.Organisation)
 			out = append(out, d.refuseWithoutTarget(now, w))
 			continue
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -202,6 +202,9 @@
 	// NoPath means that no connection could be made by a VM that has lost the links to all
 	// targets. It says nothing about the target.
 	NoPath Result = "no_path"
+	// Leaving means that the request was not sent, because the target has stated that it
+	// leaves.
+	Leaving Result = "leaving"
 	// Broken means that the answer was lost or incomplete.
 	Broken Result = "broken"
 	// Abandoned means that the caller disconnected or its time ran out.
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -4,8 +4,8 @@
 // A turn is a request of a program that generates tokens. It reserves the maximum
 // number of tokens that it can generate before any of them reaches the caller, and is
 // settled with the number that was delivered. A reservation that is never settled
-// stays charged in full. The state also includes the directory of kept histories
-// and the requests that have ended targets.
+// stays charged in full. The state also includes the directory of kept histories,
+// the requests that have ended targets, and the targets that have stated that they leave.
 //
 // Invariant: the spent and reserved tokens of a program never exceed its budget.
 package ledger
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/quarantine"
 )
@@ -53,7 +54,8 @@
 }
 
 // Command is a batch of changes. The reservations are applied first, then the
-// settlements, the retirements, the keeps and the quarantine, each in order.
+// settlements, the retirements, the keeps, the quarantine and the leaving targets, each in
+// order.
 type Command struct {
 	// UnixSeconds is the wall clock of the leader; it is only used to expire old
 	// programs and turns.
@@ -65,6 +67,8 @@
 	RetiredStorages []string `json:"x,omitempty"`
 	// Quarantine holds changes of the requests that have ended targets.
 	Quarantine []quarantine.Change `json:"q,omitempty"`
+	// Leaving are targets that have stated that they leave.
+	Leaving []catalog.Incarnation `json:"l,omitempty"`
 }
 
 // Result tells which changes of a command took effect, in the order of the command.
@@ -98,6 +102,7 @@
 	accounts map[Program]*account
 	turns    *history.Directory
 	suspects *quarantine.Records
+	leaving  LeavingTargets
 	// latestSeconds is the highest wall clock time of any command, in Unix seconds.
 	latestSeconds int64
 	// sweptSeconds is the value of latestSeconds at the last search for expired
@@ -116,6 +121,10 @@
 // Suspects returns the requests that have ended targets. The caller must not change them.
 func (s *State) Suspects() *quarantine.Records { return s.suspects }
 
+// Leaving returns the targets that have stated that they leave. The caller must not change
+// the list.
+func (s *State) Leaving() []catalog.Incarnation { return s.leaving.List() }
+
 // UnixSeconds returns the highest wall clock time of any command.
 func (s *State) UnixSeconds() int64 { return s.latestSeconds }
 
@@ -173,6 +182,9 @@
 	for _, change := range c.Quarantine {
 		s.suspects.Apply(s.latestSeconds, change)
 	}
+	for _, i := range c.Leaving {
+		s.leaving.Add(i)
+	}
 	s.sweep()
 	return result
 }
@@ -226,11 +238,12 @@
 
 // snapshot is the encoded form of a State.
 type snapshot struct {
-	LatestSeconds int64                `json:"n"`
-	SweptSeconds  int64                `json:"w"`
-	Accounts      []programAccount     `json:"a"`
-	Turns         history.Image        `json:"h"`
-	Suspects      []quarantine.Suspect `json:"q,omitempty"`
+	LatestSeconds int64                 `json:"n"`
+	SweptSeconds  int64                 `json:"w"`
+	Accounts      []programAccount      `json:"a"`
+	Turns         history.Image         `json:"h"`
+	Suspects      []quarantine.Suspect  `json:"q,omitempty"`
+	Leaving       []catalog.Incarnation `json:"l,omitempty"`
 }
 
 // programAccount is the encoded form of one account.
@@ -245,7 +258,7 @@
 	for p, a := range s.accounts {
 		encoded.Accounts = append(encoded.Accounts, programAccount{p, a})
 	}
-	encoded.Turns, encoded.Suspects = s.turns.Image(), s.suspects.List()
+	encoded.Turns, encoded.Suspects, encoded.Leaving = s.turns.Image(), s.suspects.List(), s.leaving.List()
 	return json.Marshal(encoded)
 }
 
@@ -261,5 +274,6 @@
 		s.accounts[item.Program] = item.Account
 	}
 	s.turns, s.suspects = history.FromImage(decoded.Turns), quarantine.FromList(decoded.Suspects)
+	s.leaving = NewLeavingTargets(decoded.Leaving)
 	return nil
 }
--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"hemlockvale.dev/coord/catalog"
 )
 
 const (
@@ -36,7 +38,7 @@
 
 // Target is a target as the catalog lists it.
 type Target struct {
-	Incarnation
+	catalog.Incarnation
 	// Address is the network address.
 	Address string
 	// Leaving is set if the target has announced that it leaves, so that its end is planned.
@@ -46,7 +48,7 @@
 // Loss is a request whose response was lost.
 type Loss struct {
 	Content
-	Incarnation
+	catalog.Incarnation
 	// Address is the address of the target.
 	Address string
 	// Reporter identifies the VM that lost the response.
@@ -80,7 +82,7 @@
 // Check requests to connect to the address of a target, and to report the result with
 // Checked.
 type Check struct {
-	Incarnation
+	catalog.Incarnation
 	Address string
 }
 
@@ -90,7 +92,7 @@
 	unixMS     int64
 	targets    map[string]Target
 	byAddress  map[string]Target
-	suspicions map[Incarnation]*suspicion
+	suspicions map[catalog.Incarnation]*suspicion
 	// losses and perOrganisation count the remembered losses.
 	losses          int
 	perOrganisation map[string]int
@@ -101,7 +103,7 @@
 func NewDetector(now time.Duration, unixMS int64) *Detector {
 	return &Detector{
 		unixMS: unixMS - now.Milliseconds(), targets: make(map[string]Target), byAddress: make(map[string]Target),
-		suspicions: make(map[Incarnation]*suspicion), perOrganisation: make(map[string]int),
+		suspicions: make(map[catalog.Incarnation]*suspicion), perOrganisation: make(map[string]int),
 	}
 }
 
@@ -124,7 +126,7 @@
 
 // superseded returns the crashes of an incarnation that is not listed any more, and forgets
 // it. An incarnation without a successor has left as planned.
-func (d *Detector) superseded(now time.Duration, i Incarnation) []Crash {
+func (d *Detector) superseded(now time.Duration, i catalog.Incarnation) []Crash {
 	s := d.suspicions[i]
 	current, listed := d.targets[i.Target]
 	if listed && current.StartedUnixMS <= i.StartedUnixMS || len(s.losses) == 0 {
@@ -226,7 +228,7 @@
 
 // crashesOf returns the crashes that the end of an incarnation makes of its losses. The end
 // of a target that has left, or says that it leaves, is planned.
-func (d *Detector) crashesOf(now time.Duration, i Incarnation, e Evidence) []Crash {
+func (d *Detector) crashesOf(now time.Duration, i catalog.Incarnation, e Evidence) []Crash {
 	t, listed := d.targets[i.Target]
 	if !listed || t.Leaving {
 		return nil
@@ -258,7 +260,7 @@
 // Completed records that a target has completed a request that was granted at the time
 // grantedAt. It returns the incarnation that was alive then, and the time in Unix
 // milliseconds.
-func (d *Detector) Completed(target string, grantedAt time.Duration) (Incarnation, int64) {
+func (d *Detector) Completed(target string, grantedAt time.Duration) (catalog.Incarnation, int64) {
 	alive := d.targets[target].Incarnation
 	if s := d.suspicions[alive]; s != nil {
 		for _, l := range s.losses {
@@ -290,7 +292,7 @@
 	}
 }
 
-func (d *Detector) forget(i Incarnation) {
+func (d *Detector) forget(i catalog.Incarnation) {
 	for _, l := range d.suspicions[i].losses {
 		d.losses--
 		d.perOrganisation[l.Organisation]--
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/catalog"
 )
 
 const (
@@ -28,7 +30,7 @@
 func newModel(targets int) *model {
 	m := &model{now: time.Second, records: NewRecords()}
 	for n := range targets {
-		m.targets = append(m.targets, Target{Incarnation: Incarnation{fmt.Sprint("t", n), startUnixMS - 1}, Address: fmt.Sprint("address ", n)})
+		m.targets = append(m.targets, Target{Incarnation: catalog.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: startUnixMS - 1}, Address: fmt.Sprint("address ", n)})
 	}
 	m.changeLeader()
 	return m
@@ -64,7 +66,7 @@
 // restart replaces target n by a later incarnation at its address.
 func (m *model) restart(n int, id string) {
 	m.now += returnTime
-	m.targets[n] = Target{Incarnation: Incarnation{id, m.unixMS()}, Address: m.targets[n].Address}
+	m.targets[n] = Target{Incarnation: catalog.Incarnation{Target: id, StartedUnixMS: m.unixMS()}, Address: m.targets[n].Address}
 	m.apply(m.detector.SetTargets(m.now, m.targets))
 }
 
@@ -156,7 +158,7 @@
 			loss := m.loss(content, 0, "entry 1")
 			m.now += returnTime
 			loss.Age = returnTime
-			m.targets[0] = Target{Incarnation: Incarnation{"new", m.unixMS()}, Address: m.targets[0].Address}
+			m.targets[0] = Target{Incarnation: catalog.Incarnation{Target: "new", StartedUnixMS: m.unixMS()}, Address: m.targets[0].Address}
 			m.changeLeader()
 			crashes, _ := m.detector.Lost(m.now, loss)
 			m.apply(crashes)
@@ -269,7 +271,7 @@
 	r := NewRecords()
 	crash := func(organisation string, fingerprint uint64, n int) {
 		at := int64(1000 * n)
-		r.Apply(int64(n), Change{Crash: &Crash{Content: Content{organisation, fingerprint}, Incarnation: Incarnation{fmt.Sprint(n), 1}, FromUnixMS: at, ToUnixMS: at + 1}})
+		r.Apply(int64(n), Change{Crash: &Crash{Content: Content{organisation, fingerprint}, Incarnation: catalog.Incarnation{Target: fmt.Sprint(n), StartedUnixMS: 1}, FromUnixMS: at, ToUnixMS: at + 1}})
 	}
 	for n := range Threshold {
 		crash("quiet", 1, n)
--- a/coord/quarantine/records.go
+++ b/coord/quarantine/records.go
@@ -16,6 +16,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"hemlockvale.dev/coord/catalog"
 )
 
 const (
@@ -41,18 +43,10 @@
 	Fingerprint uint64 `json:"fingerprint"`
 }
 
-// Incarnation identifies one run of a target's process.
-type Incarnation struct {
-	// Target is the id of the target.
-	Target string `json:"target"`
-	// StartedUnixMS is the start of the process in Unix milliseconds.
-	StartedUnixMS int64 `json:"started"`
-}
-
 // Crash is the end of a target while it ran a request.
 type Crash struct {
 	Content
-	Incarnation
+	catalog.Incarnation
 	// FromUnixMS and ToUnixMS are when the run began and when its response was lost, in
 	// Unix milliseconds.
 	FromUnixMS int64 `json:"from"`
@@ -66,7 +60,7 @@
 	// Crash records a crash.
 	Crash *Crash `json:"c,omitempty"`
 	// Alive revokes the crashes of an incarnation that has been seen alive afterwards.
-	Alive *Incarnation `json:"a,omitempty"`
+	Alive *catalog.Incarnation `json:"a,omitempty"`
 	// Completed counts a complete run of a suspect content.
 	Completed *Content `json:"d,omitempty"`
 	// Clear forgets a content at an operator's request.
@@ -140,7 +134,7 @@
 }
 
 // revoke removes the crashes of an incarnation, and the contents that have no other ones.
-func (r *Records) revoke(alive Incarnation) {
+func (r *Records) revoke(alive catalog.Incarnation) {
 	for content, s := range r.suspects {
 		s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return c.Incarnation == alive })
 		if len(s.Crashes) == 0 {
@@ -227,7 +221,7 @@
 
 // Blames reports whether a crash of the incarnation before a time in Unix milliseconds is
 // recorded.
-func (r *Records) Blames(i Incarnation, beforeUnixMS int64) bool {
+func (r *Records) Blames(i catalog.Incarnation, beforeUnixMS int64) bool {
 	isBlamed := func(c Crash) bool { return c.Incarnation == i && c.ToUnixMS < beforeUnixMS }
 	for _, s := range r.suspects {
 		if slices.ContainsFunc(s.Crashes, isBlamed) {
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -33,6 +33,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
@@ -76,6 +77,8 @@
 	Done(r ledgerhost.DoneReport)
 	// ObserveRate records what a target's response says about the target's rate limit.
 	ObserveRate(o ledgerhost.RateObservation)
+	// ReportLeaving records that a target has stated that it leaves.
+	ReportLeaving(i catalog.Incarnation)
 	// ReportLoss records that the response to a request was lost.
 	ReportLoss(r ledgerhost.LossReport)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
@@ -125,6 +128,7 @@
 	pool    *connPool
 	paths   *paths
 	peers   peers
+	leaving leavingTargets
 	active  atomic.Int64
 	// relayed counts the requests in progress that other entries have passed on, and offers
 	// those that this one has offered to others so far.
@@ -145,6 +149,7 @@
 	periodic.Every(ctx, cleanupInterval, func() {
 		view := e.options.View()
 		e.pool.closeExpired(func(id string) bool { _, ok := view.Target(id); return ok })
+		e.leaving.expire(func(i catalog.Incarnation) bool { t, ok := view.Target(i.Target); return ok && t.Incarnation() == i })
 	})
 }
 
--- a/server/forward/forward_test.go
+++ b/server/forward/forward_test.go
@@ -51,6 +51,7 @@
 
 func (testCodec) DecodeResponse(_ int, h http.Header) ResponseInfo {
 	info := ResponseInfo{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != ""}
+	info.Leaving = info.Signed && h.Get("Leaving") != ""
 	if text := h.Get("Limit"); text != "" {
 		limit, err := strconv.ParseFloat(text, 64)
 		info.RateLimit, info.Err = &limit, err
@@ -80,6 +81,10 @@
 	rates     []ledgerhost.TargetRate
 	// losses are the reported lost responses.
 	losses []ledgerhost.LossReport
+	// leaving are the targets that were reported as leaving.
+	leaving []catalog.Incarnation
+	// started is the start time of all granted targets.
+	started int64
 	// software is the software version of all granted targets.
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
@@ -94,6 +99,12 @@
 	}
 }
 
+func (l *testLedger) ReportLeaving(i catalog.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = append(l.leaving, i)
+}
+
 func (l *testLedger) ReportLoss(r ledgerhost.LossReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,7 +126,7 @@
 	}
 	address := l.targets[0]
 	l.targets = l.targets[1:]
-	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit, Software: l.software}, nil
+	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit, Software: l.software, StartedUnixMS: l.started}, nil
 }
 
 func (l *testLedger) Confirm(ctx context.Context, _ ledger.Reserve) error {
--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -65,6 +65,8 @@
 	NotRun bool
 	// Signed is true if the response carries the target's signature.
 	Signed bool
+	// Leaving is true if the target itself states that it leaves.
+	Leaving bool
 	// IdleTimeout is how long the target keeps an idle connection; 0 if not stated.
 	IdleTimeout time.Duration
 	// RateLimit is the number of requests per second that the target accepts from all VMs
--- a/server/forward/isolation_test.go
+++ b/server/forward/isolation_test.go
@@ -197,6 +197,7 @@
 	l.losses++
 }
 
+func (l *sharedLedger) ReportLeaving(catalog.Incarnation)             {}
 func (l *sharedLedger) Confirm(context.Context, ledger.Reserve) error { return nil }
 func (l *sharedLedger) ObserveRate(ledgerhost.RateObservation)        {}
 func (l *sharedLedger) Keep(context.Context, history.Keep) error      { return nil }
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -161,6 +161,7 @@
 	if err != nil {
 		return errors.Join(errEntryLost, err)
 	}
+	x.takeLeaving(response.Header)
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
 		return x.copyEvents(response)
 	}
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -32,10 +32,14 @@
 		x.reportDone(grant.Target, dispatch.Unreachable, false)
 		return true
 	}
-	if !x.loadHistory(grant) {
-		return false
-	}
 	for resumed := 0; ; resumed++ {
+		if x.entry.leaving.has(incarnationOf(grant)) {
+			// The leader does not know yet that the target leaves.
+			return x.handleFailure(grant, dispatch.Leaving)
+		}
+		if !x.loadHistory(grant) {
+			return false
+		}
 		result, err := x.roundTrip(grant)
 		if err != nil {
 			x.record.targetErr = err
@@ -155,6 +159,7 @@
 	x.entry.paths.end(w)
 	x.entry.paths.heard(grant.Target)
 	x.headReceived = true
+	x.observeLeaving(incarnationOf(grant), info.Leaving)
 	x.observeLimit(info)
 	reusable = !response.Close
 	if info.NotRun {
@@ -198,7 +203,7 @@
 		content.Organisation = x.organisation.Name
 	}
 	x.entry.options.Ledger.ReportLoss(ledgerhost.LossReport{Request: x.call.ID, Loss: quarantine.Loss{
-		Content: content, Incarnation: quarantine.Incarnation{Target: x.granted.Target, StartedUnixMS: x.granted.StartedUnixMS},
+		Content: content, Incarnation: incarnationOf(x.granted),
 		Address: x.granted.Address, Ran: time.Since(x.grantedAt), Reset: !ended || x.request.Context().Err() == nil,
 	}})
 }
@@ -326,6 +331,7 @@
 	removeHopByHop(response.Header)
 	response.Header.Del("Content-Length")
 	maps.Copy(x.writer.Header(), response.Header)
+	x.stateLeaving(x.writer.Header())
 	if response.Header.Get("Content-Type") == "" {
 		// A nil value keeps net/http from detecting a type that the target did not send.
 		x.writer.Header()["Content-Type"] = nil
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -75,6 +75,8 @@
 	origins knownOrigins
 	// losses are the latest responses that this entry lost.
 	losses knownLosses
+	// leaving are the targets that have stated to this entry that they leave.
+	leaving ledger.LeavingTargets
 	// searches counts the searches; offset makes entries ask different store VMs.
 	searches, offset int
 	// unavailableSince is the time of the first failure since a store VM last decided
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -22,7 +22,6 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
@@ -94,6 +93,8 @@
 	reservations   map[string]*reservation
 	proposedTokens map[ledger.Program]int64
 	copies         copyState
+	// leaving holds the targets that have stated that they leave.
+	leaving ledger.LeavingTargets
 	// detector finds out which targets have ended while they ran a request.
 	detector *quarantine.Detector
 	// checkSlots holds an element for each check of a target in progress.
@@ -172,6 +173,7 @@
 func (h *Host) startLeadership(leaderSince time.Time) {
 	h.leaderSince = leaderSince
 	h.dispatcher = dispatch.New(bootclock.Now(), h.options.Seed)
+	h.leaving = h.options.Machine.leavingTargets()
 	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
 	h.setTargets()
@@ -191,7 +193,7 @@
 	view := h.options.View()
 	targets := make([]dispatch.Target, 0, len(view.Targets))
 	for _, t := range view.Targets {
-		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: t.State != catalog.Ready}
+		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: h.leaves(t)}
 		if view.Table != nil {
 			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/compact"
@@ -194,6 +195,12 @@
 			return err
 		}
 		h.recordRates(rates)
+	case kindLeaving:
+		var targets []catalog.Incarnation
+		if err := compact.Unmarshal(payload, &targets); err != nil {
+			return err
+		}
+		h.recordLeaving(l.entryHost(), targets)
 	case kindLosses:
 		var losses []LossReport
 		if err := compact.Unmarshal(payload, &losses); err != nil {
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
 	"hemlockvale.dev/coord/quarantine"
@@ -44,7 +45,8 @@
 	Settles     []ledger.Settle
 }
 
-// historyCommand is the form of a command in logs of releases without quarantine.
+// historyCommand is the form of a command in logs of releases without quarantine and leaving
+// targets.
 type historyCommand struct {
 	UnixSeconds     int64
 	Reserves        []ledger.Reserve
@@ -119,6 +121,13 @@
 	read(m.state.Suspects())
 }
 
+// leavingTargets returns the targets that have stated that they leave.
+func (m *Machine) leavingTargets() ledger.LeavingTargets {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return ledger.NewLeavingTargets(m.state.Leaving())
+}
+
 const (
 	// maxBatchOperations bounds the number of operations in one log entry.
 	maxBatchOperations = 256
@@ -128,13 +137,14 @@
 	proposeTimeout = time.Second
 )
 
-// operation is one change of the ledger. Exactly one of reserve, settle, keep, quarantine
-// and retiredStorage is set.
+// operation is one change of the ledger. Exactly one of reserve, settle, keep, quarantine,
+// leaving and retiredStorage is set.
 type operation struct {
 	reserve        *ledger.Reserve
 	settle         *ledger.Settle
 	keep           *history.Keep
 	quarantine     *quarantine.Change
+	leaving        *catalog.Incarnation
 	retiredStorage string
 	// onOutcome receives the outcome: whether a reservation is covered or a keep was
 	// accepted. It may be nil for a settlement.
@@ -208,13 +218,15 @@
 			command.Keeps = append(command.Keeps, *op.keep)
 		case op.quarantine != nil:
 			command.Quarantine = append(command.Quarantine, *op.quarantine)
+		case op.leaving != nil:
+			command.Leaving = append(command.Leaving, *op.leaving)
 		default:
 			command.RetiredStorages = append(command.RetiredStorages, op.retiredStorage)
 		}
 	}
 	result, err := b.commit(ctx, command)
 	if err != nil {
-		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles), "keeps": len(command.Keeps), "quarantine": len(command.Quarantine)}).WithError(err).Warn("batch not confirmed")
+		b.log.WithFields(logrus.Fields{"event": "ledger_batch_failed", "reserves": len(command.Reserves), "settles": len(command.Settles), "keeps": len(command.Keeps), "quarantine": len(command.Quarantine), "leaving": len(command.Leaving)}).WithError(err).Warn("batch not confirmed")
 	}
 	for _, op := range batch {
 		accepted := err == nil
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -52,6 +52,9 @@
 	kindTargetRates
 	// kindOrigins repeats the origins of streams to a new leader.
 	kindOrigins
+	// kindLeaving reports targets that have stated that they leave, and repeats them to a new
+	// leader.
+	kindLeaving
 	// kindLosses reports lost responses, and repeats them to a new leader.
 	kindLosses
 )
--- a/server/ledger/origins.go
+++ b/server/ledger/origins.go
@@ -73,6 +73,11 @@
 			return err
 		}
 	}
+	if leaving := c.leaving.List(); len(leaving) > 0 {
+		if err := l.send(kindLeaving, leaving); err != nil {
+			return err
+		}
+	}
 	if losses := c.losses.reports(); len(losses) > 0 {
 		return l.send(kindLosses, losses)
 	}
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -12,7 +12,6 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/server/bootclock"
@@ -80,7 +79,7 @@
 func (h *Host) setDetectorTargets(view *registry.View) {
 	targets := make([]quarantine.Target, len(view.Targets))
 	for i, t := range view.Targets {
-		targets[i] = quarantine.Target{Incarnation: quarantine.Incarnation{Target: t.ID, StartedUnixMS: t.StartedUnixMS}, Address: t.Address, Leaving: t.State != catalog.Ready}
+		targets[i] = quarantine.Target{Incarnation: t.Incarnation(), Address: t.Address, Leaving: h.leaves(t)}
 	}
 	h.recordCrashes(h.detector.SetTargets(bootclock.Now(), targets))
 }
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/server/compact"
@@ -23,7 +24,7 @@
 func lossOf(n int, address string) LossReport {
 	return LossReport{Request: fmt.Sprint("lost ", n), Loss: quarantine.Loss{
 		Content:     quarantine.Content{Organisation: "o", Fingerprint: crashFingerprint},
-		Incarnation: quarantine.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}, Address: address, Ran: time.Millisecond, Reset: true,
+		Incarnation: catalog.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}, Address: address, Ran: time.Millisecond, Reset: true,
 	}}
 }
 
