quarantine: the losses of an organisation do not hide the crash of one of its requests

An organisation that had lost 512 responses within 20 s, as when many entries lose their links at once, had no room for another one, so the ends of targets under a crashing request were not counted meanwhile and it went on to further targets.

Evidence: TestLossesOfOthersDoNotHideACrash on the code before: the request reached all 6 targets, 3 are wanted. The fix: the oldest loss makes room, of the same organisation if that has reached its own limit.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"hemlockvale.dev/coord/catalog"
@@ -93,8 +94,9 @@
 	targets    map[string]Target
 	byAddress  map[string]Target
 	suspicions map[catalog.Incarnation]*suspicion
-	// losses and perOrganisation count the remembered losses.
-	losses          int
+	// order holds the remembered losses, the oldest report first, and perOrganisation counts
+	// them.
+	order           []*loss
 	perOrganisation map[string]int
 }
 
@@ -174,22 +176,44 @@
 	return nil, &Check{reported.Incarnation, reported.Address}
 }
 
-// addLoss remembers a loss, unless it is known or there are too many.
+// addLoss remembers a loss, unless it is known.
 func (d *Detector) addLoss(now time.Duration, s *suspicion, reported Loss) {
 	for _, known := range s.losses {
 		if known.Content == reported.Content {
 			return
 		}
 	}
-	if d.losses >= maxLosses || d.perOrganisation[reported.Organisation] >= maxLossesPerOrganisation {
-		return
-	}
+	d.makeRoom(reported.Organisation)
 	to := now - reported.Age
-	s.losses = append(s.losses, &loss{Loss: reported, from: to - reported.Ran, to: to})
-	d.losses++
+	l := &loss{Loss: reported, from: to - reported.Ran, to: to}
+	s.losses = append(s.losses, l)
+	d.order = append(d.order, l)
 	d.perOrganisation[reported.Organisation]++
 }
 
+// makeRoom drops the oldest loss if the limits allow no further one of an organisation: one
+// of the same organisation if that has reached its own limit, and otherwise any.
+func (d *Detector) makeRoom(organisation string) {
+	full := d.perOrganisation[organisation] >= maxLossesPerOrganisation
+	if !full && len(d.order) < maxLosses {
+		return
+	}
+	oldest := slices.IndexFunc(d.order, func(l *loss) bool { return !full || l.Organisation == organisation })
+	l := d.order[oldest]
+	if s := d.suspicions[l.Incarnation]; s != nil {
+		s.losses = slices.DeleteFunc(s.losses, func(other *loss) bool { return other == l })
+	}
+	d.order = slices.Delete(d.order, oldest, oldest+1)
+	d.uncount(l)
+}
+
+func (d *Detector) uncount(l *loss) {
+	d.perOrganisation[l.Organisation]--
+	if d.perOrganisation[l.Organisation] == 0 {
+		delete(d.perOrganisation, l.Organisation)
+	}
+}
+
 // Result is the result of a check.
 type Result int
 
@@ -294,11 +318,8 @@
 
 func (d *Detector) forget(i catalog.Incarnation) {
 	for _, l := range d.suspicions[i].losses {
-		d.losses--
-		d.perOrganisation[l.Organisation]--
-		if d.perOrganisation[l.Organisation] == 0 {
-			delete(d.perOrganisation, l.Organisation)
-		}
+		d.uncount(l)
 	}
+	d.order = slices.DeleteFunc(d.order, func(l *loss) bool { return l.Incarnation == i })
 	delete(d.suspicions, i)
 }
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -297,8 +297,21 @@
 		m.lose(Content{fmt.Sprint(n % 16), uint64(n)}, 0, "entry 1")
 		m.now -= runTime
 	}
-	assert.LessOrEqual(t, m.detector.losses, maxLosses)
+	assert.LessOrEqual(t, len(m.detector.order), maxLosses)
 	m.detector.Sweep(m.now + time.Minute)
-	assert.Zero(t, m.detector.losses)
+	assert.Empty(t, m.detector.order)
 	assert.Empty(t, m.detector.perOrganisation)
 }
+
+// TestLossesOfOthersDoNotHideACrash guards against a request that goes on ending targets
+// because its organisation has lost many other responses just before.
+func TestLossesOfOthersDoNotHideACrash(t *testing.T) {
+	m := newModel(2 * Threshold)
+	last := len(m.targets) - 1
+	for n := range uint64(2 * maxLossesPerOrganisation) {
+		m.lose(Content{"o", 100 + n}, last, "entry 1")
+		m.now -= runTime
+	}
+	assert.Equal(t, Threshold, m.sendUntilHeldBack(Content{"o", 7}, func(int) {}))
+	assert.LessOrEqual(t, m.detector.perOrganisation["o"], maxLossesPerOrganisation)
+}
