ledger: a queued request is refused if it has ended enough targets meanwhile

Evidence: TestQueuedRequestIsHeldBack fails with the check taken out (a grant instead of a refusal, and the slot stays held). The fix: the leader asks again when a queued request is granted, refuses it and releases the slot.

--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -227,7 +227,7 @@
 	}
 	h.admissions[r.ID] = a
 	if h.isQuarantined(&r.Request) {
-		h.finish(a, AdmitResponse{Refusal: Quarantined, RetryAfter: quarantine.RetentionSeconds * time.Second})
+		h.finish(a, quarantinedResponse)
 		return
 	}
 	holders, known := h.previousHolders(r)
@@ -316,13 +316,18 @@
 // h.mu.
 func (h *Host) deliverOutcomes(outcomes []dispatch.Outcome) {
 	for _, o := range outcomes {
-		if a := h.admissions[o.ID]; a != nil && a.response == nil {
+		a := h.admissions[o.ID]
+		// Nothing waits for the grant if the caller has disconnected.
+		waits := a != nil && a.response == nil
+		// The request may have ended further targets while this one was queued.
+		heldBack := waits && o.Target != "" && h.isQuarantined(&a.request.Request)
+		switch {
+		case heldBack:
+			h.finish(a, quarantinedResponse)
+		case waits:
 			h.finish(a, h.response(o))
-			continue
 		}
-		// No admission waits for this grant because the caller has disconnected, so the
-		// grant is released.
-		if o.Target != "" {
+		if o.Target != "" && (heldBack || !waits) {
 			h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), o.ID, o.Target, dispatch.Abandoned, 0))
 		}
 	}
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -29,6 +29,8 @@
 // Quarantined is the refusal of a request that has ended several targets.
 const Quarantined dispatch.Refusal = "quarantined"
 
+var quarantinedResponse = AdmitResponse{Refusal: Quarantined, RetryAfter: quarantine.RetentionSeconds * time.Second}
+
 // These are the RPC methods with which operators see and clear the requests that are held
 // back. The leader executes them.
 const (
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -139,3 +139,52 @@
 	known.list[0].reportedAt = time.Now().Add(-2 * lossRetention)
 	assert.Len(t, known.reports(), maxKnownLosses-1)
 }
+
+// TestQueuedRequestIsHeldBack guards against a grant for a request that has ended enough
+// targets while it was queued, and against a slot that is not released then.
+func TestQueuedRequestIsHeldBack(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	s.setTargets("t0", "t1", "t2")
+	view := *s.view.Load()
+	for i := range view.Targets[1:] {
+		// The request waits for the only target of its service.
+		view.Targets[1+i].Service = "other"
+	}
+	s.view.Store(&view)
+	s.host.Update(&view)
+	// A target with one slot holds two requests.
+	for _, id := range []string{"running", "next at the target"} {
+		running := crashingRequest(id)
+		running.Fingerprint = 1
+		response, err := c.Admit(t.Context(), running)
+		require.NoError(t, err)
+		require.Equal(t, "t", response.Target)
+	}
+	outcome := make(chan dispatch.Refusal, 1)
+	go func() {
+		r := crashingRequest("queued")
+		r.TimeLeft = 5 * time.Second
+		response, err := c.Admit(t.Context(), r)
+		assert.NoError(t, err)
+		outcome <- response.Refusal
+	}()
+	require.Eventually(t, func() bool {
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		return s.host.dispatcher.Load("s").Waiting == 1
+	}, time.Second, time.Millisecond)
+	for n := range quarantine.Threshold {
+		c.ReportLoss(lossOf(n, "127.0.0.1:1"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return s.ended(t) == quarantine.Threshold }, 5*time.Second, 10*time.Millisecond)
+	c.Done(DoneReport{ID: "running", Target: "t", Result: dispatch.Completed})
+	assert.Equal(t, Quarantined, <-outcome)
+	next := crashingRequest("next")
+	next.Fingerprint = 1
+	response, err := c.Admit(t.Context(), next)
+	require.NoError(t, err)
+	assert.Equal(t, "t", response.Target)
+}
