ledger: a crash that the quorum does not confirm is proposed again

While a store VM was lost or a disk was slow the proposal could fail, and the end was counted only if the target's successor showed it once more.

Evidence: TestCrashIsProposedAgain fails with one proposal. The fix: up to 20 proposals, 250 ms apart, as long as this VM leads. To record a crash twice changes nothing; after a change of the leader entries repeat their losses.

--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -24,6 +24,10 @@
 	checkTimeout = 500 * time.Millisecond
 	// maxChecks bounds the checks in progress.
 	maxChecks = 32
+	// maxCrashProposals bounds how often a crash is proposed to the quorum, and
+	// crashProposalInterval is the time between two proposals.
+	maxCrashProposals     = 20
+	crashProposalInterval = 250 * time.Millisecond
 )
 
 // Quarantined is the refusal of a request that has ended several targets.
@@ -143,10 +147,33 @@
 			"event": "target_crash", "organisation": c.Organisation, "fingerprint": fingerprintText(c.Fingerprint), "target": c.Target, "evidence": string(c.Evidence),
 		}).Warn("target ended while it ran a request")
 		gometrics.GetOrRegisterCounter("ledger_target_crashes", h.options.Metrics).Inc(1)
-		h.batcher.add(operation{quarantine: &quarantine.Change{Crash: &c}})
+		h.proposeCrash(c, maxCrashProposals)
 	}
 }
 
+// proposeCrash proposes a crash to the quorum, again if that is not confirmed. Recording a
+// crash is idempotent.
+func (h *Host) proposeCrash(c quarantine.Crash, proposals int) {
+	detector := h.detector
+	retry := func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		// After a change of the leader, the entries repeat their losses to the new one.
+		if h.detector == detector {
+			h.proposeCrash(c, proposals-1)
+		}
+	}
+	h.batcher.add(operation{quarantine: &quarantine.Change{Crash: &c}, onOutcome: func(_ bool, err error) {
+		if err == nil {
+			return
+		}
+		h.options.Log.WithFields(logrus.Fields{"event": "crash_not_recorded", "fingerprint": fingerprintText(c.Fingerprint), "target": c.Target, "proposals_left": proposals - 1}).WithError(err).Warn("the end of a target is not confirmed by the quorum")
+		if proposals > 1 {
+			time.AfterFunc(crashProposalInterval, retry)
+		}
+	}})
+}
+
 // recordCompletion tells the quarantine that a target has completed a request. The caller
 // holds h.mu.
 func (h *Host) recordCompletion(r DoneReport) {
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -188,3 +188,30 @@
 	require.NoError(t, err)
 	assert.Equal(t, "t", response.Target)
 }
+
+// failingProposer fails the first proposals.
+type failingProposer struct {
+	proposer
+	failures int
+}
+
+func (p *failingProposer) Propose(ctx context.Context, data []byte) (any, error) {
+	if p.failures > 0 {
+		p.failures--
+		return nil, context.DeadlineExceeded
+	}
+	return p.proposer.Propose(ctx, data)
+}
+
+// TestCrashIsProposedAgain guards against a crash that is not counted because the quorum did
+// not confirm it at once.
+func TestCrashIsProposedAgain(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	s.host.mu.Lock()
+	s.host.batcher.quorum = &failingProposer{s.host.batcher.quorum, 3}
+	l := lossOf(0, "")
+	s.host.recordCrashes([]quarantine.Crash{{Content: l.Content, Incarnation: l.Incarnation, FromUnixMS: 1, ToUnixMS: 2}})
+	s.host.mu.Unlock()
+	require.Eventually(t, func() bool { return s.ended(t) == 1 }, 5*time.Second, 10*time.Millisecond)
+}
