--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -7,9 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
-	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -21,8 +18,6 @@
 )
 
 const (
-	// peersValidity is how long a list of entries with links is used.
-	peersValidity = 500 * time.Millisecond
 	// maxOffers bounds the entries to which one request is offered.
 	maxOffers = 3
 	// maxRelayed bounds the requests of other entries that this one serves at once.
@@ -57,38 +52,6 @@
 	return nil
 }
 
-// peers holds the entries that can reach targets, as control names them.
-type peers struct {
-	mu        sync.Mutex
-	addresses []string
-	fetchedAt time.Time
-}
-
-// list returns the addresses, which it fetches if they are not up to date.
-func (p *peers) list(ctx context.Context, fetch func(context.Context) ([]string, error)) ([]string, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Since(p.fetchedAt) < peersValidity {
-		return p.addresses, nil
-	}
-	addresses, err := fetch(ctx)
-	if err == nil {
-		p.addresses, p.fetchedAt = addresses, time.Now()
-	}
-	return p.addresses, err
-}
-
-// remove leaves out an address that did not take a request. The list is fetched again once it
-// is empty.
-func (p *peers) remove(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses = slices.DeleteFunc(slices.Clone(p.addresses), func(a string) bool { return a == address })
-	if len(p.addresses) == 0 {
-		p.fetchedAt = time.Time{}
-	}
-}
-
 // relay passes the request on to an entry that can reach targets. It returns false if there
 // is none; then the request has not been sent. A request that was relayed to this entry is
 // not relayed again.
@@ -126,9 +89,9 @@
 func (x *exchange) offerToPeers() (net.Conn, string) {
 	log := x.entry.options.Log.WithFields(logrus.Fields{"event": "relay_offer", "request": x.call.ID})
 	for range maxOffers {
-		addresses, err := x.entry.peers.list(x.ctx, x.entry.options.Peers)
+		addresses := x.entry.peers.list(x.ctx, x.entry.options.Peers, x.entry.options.Log)
 		if len(addresses) == 0 {
-			log.WithError(err).Warn("control names no entries to relay requests to")
+			log.Warn("control names no entries to relay requests to")
 			return nil, ""
 		}
 		address := addresses[int(x.entry.offers.Add(1))%len(addresses)]
