forward: the events of a stream take the lock of the paths at most five times a second

Each event of each stream took the lock that all requests of an entry share, only to note that its target is alive.

--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -7,10 +7,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"hemlockvale.dev/coord/dispatch"
 )
 
+// heardInterval is the time after which an event counts again as a sign of its target.
+const heardInterval = 200 * time.Millisecond
+
 // maxEventBytes bounds the encoded size of one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -85,6 +89,7 @@
 func (x *exchange) relayStream(response *http.Response) (dispatch.Result, error) {
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
 	controller := http.NewResponseController(x.writer)
+	heardAt := time.Now()
 	for {
 		e, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
@@ -96,7 +101,10 @@
 		if err != nil {
 			return dispatch.Broken, err
 		}
-		x.entry.paths.heard(x.granted.Target)
+		if time.Since(heardAt) > heardInterval {
+			heardAt = time.Now()
+			x.entry.paths.heard(x.granted.Target)
+		}
 		x.prepareKeep()
 		if err := x.awaitReservation(); err != nil {
 			return dispatch.Abandoned, err
