quorum: the test of the isolated leader waits until the others have elected one

KNOWN-RED: TestIsolatedLeaderStepsDown failed once in 41 runs beside load. Suspected then: the isolated leader was elected again and committed what had an unknown outcome. Shown now with a throwaway test that heals the network before anybody was elected: in 1 of 12 runs all replicas held [before interrupted uncertain after]. That is a correct outcome, so the exact list was only right once another leader was in office. The test now requires that one of the others is elected while the old leader is isolated, which it took for granted before, and then the exact list as before.

--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -350,6 +350,10 @@
 	_, err = old.Propose(t.Context(), []byte("refused"))
 	require.ErrorIs(t, err, ErrNotLeader)
 	require.True(t, old.LeaderSince().IsZero())
+	// Until the others have a leader, the old one may be elected again and commit what had an
+	// unknown outcome.
+	next, _ := c.leader()
+	require.NotEqual(t, name, next)
 	c.isolate(name, false)
 	c.propose("after")
 	c.requireConverged([]string{"before", "after"})
