forward: a VM says in order that it has lost its links and that it has them back

Now the flag is set while the change is made, and only the report to control runs on its own; it reads the flag when it is sent.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -113,8 +113,8 @@
 	Peers func(ctx context.Context) ([]string, error)
 	// Stopping reports whether a planned stop has begun; nil if there is none.
 	Stopping func() bool
-	// OnIsolation is called when this VM has lost the links to all targets, and when it has
-	// them back; it may be nil.
+	// OnIsolation is called, in order, when this VM has lost the links to all targets, and when
+	// it has them back. It must not block; it may be nil.
 	OnIsolation func(isolated bool)
 	// Log receives one line for each request.
 	Log *logrus.Entry
--- a/server/forward/paths.go
+++ b/server/forward/paths.go
@@ -203,7 +203,7 @@
 	}
 	p.published = isolated
 	if p.entry.options.OnIsolation != nil {
-		go p.entry.options.OnIsolation(isolated)
+		p.entry.options.OnIsolation(isolated)
 	}
 }
 
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -221,7 +221,7 @@
 		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stopping: draining.Load,
 		OnIsolation: func(lost bool) {
 			isolated.Store(lost)
-			follower.Report(taskCtx)
+			go follower.Report(taskCtx)
 		},
 		Log: p.Log, Metrics: p.metrics,
 	})
