--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -14,7 +14,6 @@
 package ledger
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -103,19 +102,6 @@
 	parked []parkedLink
 }
 
-// admission is an admission request and its outcome.
-type admission struct {
-	request AdmitRequest
-	link    *link
-	// receivedAt is on the boot clock.
-	receivedAt time.Duration
-	// response is nil while the request is queued; it was sent at finishedAt.
-	response   *AdmitResponse
-	finishedAt time.Duration
-	// holders are the storages that hold the record of the previous turn.
-	holders []string
-}
-
 // New returns a host. Run must be called for it to admit requests.
 func New(options Options) *Host {
 	h := &Host{options: options, batcher: newBatcher(options.Quorum, options.Log), checkSlots: make(chan struct{}, maxChecks)}
@@ -212,160 +198,6 @@
 	return h.dispatcher != nil && bootclock.Now() < h.leaseExpiry && h.options.View().Revision > 0
 }
 
-// admit decides about a request. A request that is repeated over another connection
-// gets the outcome of the first one. The caller holds h.mu.
-func (h *Host) admit(a *admission) {
-	a.receivedAt = bootclock.Now()
-	r := &a.request
-	if existing := h.admissions[r.ID]; existing != nil && existing.request.Attempt == r.Attempt {
-		existing.link = a.link
-		h.watchReservation(r.Reserve, a.link)
-		if existing.response != nil {
-			a.link.send(kindAdmitResponse, existing.response)
-		}
-		return
-	}
-	h.admissions[r.ID] = a
-	if h.isQuarantined(&r.Request) {
-		h.finish(a, quarantinedResponse)
-		return
-	}
-	holders, known := h.previousHolders(r)
-	if !known {
-		h.finish(a, AdmitResponse{Refusal: UnknownTurn})
-		return
-	}
-	a.holders = holders
-	if r.Reserve != nil {
-		r.StartsProgram = h.options.Machine.charged(r.Reserve.Program) == 0 && h.proposedTokens[r.Reserve.Program] == 0
-		r.ContinuesProgram = !r.StartsProgram
-		r.BudgetTurns = float64(r.Reserve.Budget) / float64(max(r.Reserve.Tokens, 1))
-		if h.reserve(*r.Reserve, a.link) == nil {
-			h.finish(a, AdmitResponse{Refusal: BudgetExhausted})
-			return
-		}
-	}
-	outcome := h.dispatcher.Admit(a.receivedAt, r.Request)
-	if !outcome.Waiting() {
-		h.finish(a, h.response(outcome))
-	}
-}
-
-// finish sends the outcome of an admission to the entry and logs it.
-func (h *Host) finish(a *admission, r AdmitResponse) {
-	r.ID, r.Attempt, r.Holders = a.request.ID, a.request.Attempt, a.holders
-	a.response, a.finishedAt = &r, bootclock.Now()
-	if r.Refusal != "" && r.Refusal != dispatch.PathLost && a.request.Attempt == 0 {
-		// After an earlier attempt, the entry settles what it has delivered. A request
-		// whose path is lost is admitted again for another entry.
-		h.releaseReservation(a)
-	}
-	a.link.send(kindAdmitResponse, &r)
-	h.countOutcome(r)
-	load := h.dispatcher.Load(a.request.Service)
-	fields := logrus.Fields{
-		"event": "admission", "request": a.request.ID, "attempt": a.request.Attempt, "organisation": a.request.Organisation, "service": a.request.Service,
-		"priority": a.request.Priority, "left_ms": a.request.TimeLeft.Milliseconds(), "running": load.Running, "waiting": load.Waiting, "slots": load.Slots,
-		"view": h.options.View().Revision, "waited_ms": r.Waited.Milliseconds(),
-	}
-	if t, ok := h.options.View().Target(r.Target); ok {
-		fields["near"], fields["software"] = t.DataCentre == a.request.DataCentre, t.Software
-	}
-	if r.RateLimit != nil {
-		fields["rate_limit"] = *r.RateLimit
-	}
-	if a.request.Continues {
-		fields["resumes"], fields["same_target"] = a.request.Resumes, a.request.Target != ""
-	}
-	if r.Target != "" {
-		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
-	} else {
-		if r.Refusal == Quarantined {
-			fields["fingerprint"] = fingerprintText(a.request.Fingerprint)
-		}
-		fields["refusal"], fields["retry_after_ms"] = string(r.Refusal), r.RetryAfter.Milliseconds()
-	}
-	if a.request.Program != "" {
-		fields["program"], fields["program_left_ms"] = a.request.Program, a.request.ProgramTimeLeft.Milliseconds()
-		fields["standing"] = h.dispatcher.DeadlineStatus(bootclock.Now(), &a.request.Request)
-	}
-	if reserve := a.request.Reserve; reserve != nil {
-		fields["budget"], fields["reserve"], fields["charged"] = reserve.Budget, reserve.Tokens, h.options.Machine.charged(reserve.Program)
-	}
-	h.options.Log.WithFields(fields).Info("admission decided")
-}
-
-func (h *Host) countOutcome(r AdmitResponse) {
-	outcome := cmp.Or(string(r.Refusal), "granted")
-	gometrics.GetOrRegisterCounter("ledger_admissions;outcome="+outcome, h.options.Metrics).Inc(1)
-	gometrics.GetOrRegisterTimer("ledger_waited", h.options.Metrics).Update(r.Waited)
-}
-
-func (h *Host) response(o dispatch.Outcome) AdmitResponse {
-	r := AdmitResponse{Target: o.Target, Refusal: o.Refusal, RetryAfter: o.RetryAfter, Waited: o.Waited, Cached: o.Cached, Reason: o.Reason}
-	if t, ok := h.options.View().Target(o.Target); ok {
-		r.Address, r.Software, r.StartedUnixMS = t.Address, t.Software, t.StartedUnixMS
-	}
-	if rate, ok := h.dispatcher.TargetRate(o.Target); ok {
-		r.RateLimit = &rate
-	}
-	return r
-}
-
-// deliverOutcomes finishes the admissions that wait for the outcomes. The caller holds
-// h.mu.
-func (h *Host) deliverOutcomes(outcomes []dispatch.Outcome) {
-	for _, o := range outcomes {
-		a := h.admissions[o.ID]
-		// Nothing waits for the grant if the caller has disconnected.
-		waits := a != nil && a.response == nil
-		// The request may have ended further targets while this one was queued.
-		heldBack := waits && o.Target != "" && h.isQuarantined(&a.request.Request)
-		switch {
-		case heldBack:
-			h.finish(a, quarantinedResponse)
-		case waits:
-			h.finish(a, h.response(o))
-		}
-		if o.Target != "" && (heldBack || !waits) {
-			h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), o.ID, o.Target, dispatch.Abandoned, 0))
-		}
-	}
-}
-
-// done ends a request that ran at a target, or one whose caller disconnected while it
-// was queued. The caller holds h.mu.
-func (h *Host) done(entry string, r DoneReport) {
-	if r.Settle != nil {
-		h.batcher.add(operation{settle: r.Settle})
-	}
-	if r.Target != "" {
-		switch r.Result {
-		case dispatch.Completed, dispatch.Failed:
-			h.recordCompletion(r)
-		case dispatch.Unreachable, dispatch.NoPath:
-			h.options.Log.WithFields(logrus.Fields{"event": "target_unreachable", "request": r.ID, "target": r.Target, "entry": entry, "entry_isolated": r.Result == dispatch.NoPath}).Info("an entry could not connect to a target")
-		}
-		if r.Result == dispatch.Unreachable {
-			h.recordCrashes(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
-		}
-		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
-		return
-	}
-	a := h.admissions[r.ID]
-	if a == nil {
-		return
-	}
-	if a.response == nil {
-		h.dispatcher.Cancel(r.ID)
-		h.finish(a, AdmitResponse{Refusal: dispatch.Expired})
-	} else if a.response.Target != "" {
-		// The request was granted before the report that its caller has disconnected
-		// arrived.
-		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, a.response.Target, dispatch.Abandoned, 0))
-	}
-}
-
 // recordRates applies what entries report about the rate limits of targets. The caller
 // holds h.mu.
 func (h *Host) recordRates(rates []TargetRate) {
