dispatch: whether a service accepts requests is asked once, not for each waiting request

Since requests are refused when all targets of their service leave, each search of the queue asked for each waiting request whether a target accepts requests. The outcome is the same.

--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -68,6 +68,11 @@
 	return best
 }
 
+// acceptsRequests reports whether any target of a service accepts requests.
+func (d *Dispatcher) acceptsRequests(service string) bool {
+	return slices.ContainsFunc(d.targetsByService[service], func(t *target) bool { return !t.Draining })
+}
+
 // hasTarget reports whether a request may wait for a target: one that may get it accepts
 // requests.
 func (d *Dispatcher) hasTarget(r *Request) bool {
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -221,13 +221,14 @@
 	var out []Outcome
 	rest := q.waiting[:0]
 	blocked := false
+	accepted := d.acceptsRequests(service)
 	for _, w := range q.waiting {
 		if now >= w.expires {
 			d.refund(w.request.Organisation)
 			out = append(out, Outcome{ID: w.request.ID, Refusal: Expired, RetryAfter: d.withJitter(minRetryAfter), Waited: now - w.queuedAt})
 			continue
 		}
-		if !d.hasTarget(&w.request) {
+		if !accepted || w.request.pinned() && !d.hasTarget(&w.request) {
 			d.refund(w.request.Organisation)
 			out = append(out, d.refuseWithoutTarget(now, w))
 			continue
