quarantine: silent targets and isolated VMs no longer hide the end of a target

What callers saw: nothing new; targets went on ending, one for each time that the request came again.

Cause: three kinds of lost responses never became a suspicion that the ledger's leader checks. - A target that fell silent in the middle of a stream: the entry took any caller that leaves after the head of the response for one that leaves a sound target, and reported nothing. - A target that fell silent before its response, while the caller left by itself: reported, but as a loss that says nothing, so the leader checked nothing and only a later incarnation at the address could show the end. - Losses of a VM that has lost its links were not reported at all. In a deployment whose few targets all ended, the VM takes that for a loss of its links, so the losses that mattered were the ones left out.

An isolated VM reports its losses too: it takes the leader's own evidence to make a crash of them, so they harm nobody.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -37,6 +37,31 @@
 	Silent Evidence = "silent"
 )
 
+// LossKind is how the response to a request was lost. Its values are part of the protocol
+// between VMs.
+type LossKind int8
+
+const (
+	// Unfinished means that the caller left, or its time ran out, while the target may still
+	// have been at work.
+	Unfinished LossKind = iota
+	// Silence means that the target had been silent for a while.
+	Silence
+	// Disconnected means that the connection failed.
+	Disconnected
+)
+
+// String returns the kind as logs show it.
+func (k LossKind) String() string {
+	switch k {
+	case Silence:
+		return "silence"
+	case Disconnected:
+		return "disconnected"
+	}
+	return "unfinished"
+}
+
 // Target is a target as the catalog lists it.
 type Target struct {
 	catalog.Incarnation
@@ -57,9 +82,8 @@
 	// Ran is the time from the grant of the request to the loss, and Age the time since
 	// then.
 	Ran, Age time.Duration
-	// Reset is set if the connection failed, and not set if the caller left or its time ran
-	// out before the target responded.
-	Reset bool
+	// Kind is how the response was lost.
+	Kind LossKind
 }
 
 // loss is a Loss with its times on the clock of the detector.
@@ -169,11 +193,20 @@
 	if crashes := d.superseded(now, reported.Incarnation); len(crashes) > 0 {
 		return crashes, nil
 	}
-	if !reported.Reset || now < s.checkedAt+minCheckInterval || d.suspicions[reported.Incarnation] == nil {
+	if reported.Kind == Unfinished {
 		return nil, nil
 	}
+	return nil, d.check(now, reported.Incarnation)
+}
+
+// check returns the check of an incarnation whose responses were lost; nil if none is due.
+func (d *Detector) check(now time.Duration, i catalog.Incarnation) *Check {
+	s := d.suspicions[i]
+	if s == nil || len(s.losses) == 0 || now < s.checkedAt+minCheckInterval {
+		return nil
+	}
 	s.checkedAt = now
-	return nil, &Check{reported.Incarnation, reported.Address}
+	return &Check{i, s.losses[0].Address}
 }
 
 // addLoss remembers a loss, unless it is known.
@@ -274,7 +307,7 @@
 		return nil
 	}
 	for _, l := range s.losses {
-		if l.Reporter != reporter && l.Reset {
+		if l.Reporter != reporter && l.Kind != Unfinished {
 			return d.crashesOf(now, d.targets[target].Incarnation, Refused)
 		}
 	}
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 
 func (m *model) loss(content Content, n int, reporter string) Loss {
 	t := m.targets[n]
-	return Loss{Content: content, Incarnation: t.Incarnation, Address: t.Address, Reporter: reporter, Ran: runTime, Reset: true}
+	return Loss{Content: content, Incarnation: t.Incarnation, Address: t.Address, Reporter: reporter, Ran: runTime, Kind: Disconnected}
 }
 
 // restart replaces target n by a later incarnation at its address.
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -186,8 +186,10 @@
 	mayHaveRun bool
 	// unanswered is set from the first byte that a target gets of the request until its
 	// response is complete, or reports that the request did not run. headReceived is set once
-	// the head of the response has arrived.
+	// the head of the response has arrived. sentAt is when the request was sent, on the boot
+	// clock.
 	unanswered, headReceived bool
+	sentAt                   time.Duration
 	// events counts the data events of a stream that were relayed to the caller, and
 	// lastEventID is the id of the latest event that has one.
 	events      int64
--- a/server/forward/isolation_test.go
+++ b/server/forward/isolation_test.go
@@ -197,6 +197,13 @@
 	l.losses++
 }
 
+// lostResponses returns the number of losses that were reported so far.
+func (l *sharedLedger) lostResponses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.losses
+}
+
 func (l *sharedLedger) ReportLeaving(catalog.Incarnation)             {}
 func (l *sharedLedger) Confirm(context.Context, ledger.Reserve) error { return nil }
 func (l *sharedLedger) ObserveRate(ledgerhost.RateObservation)        {}
@@ -490,5 +497,5 @@
 	assert.Equal(t, isolationCallers, s.serveMany(t, 0, isolationCallers, "slow "))
 	assert.LessOrEqual(t, s.entries[0].pool.opened.Load(), int64(3*isolationCallers))
 	assert.Zero(t, s.entries[0].offers.Load())
-	assert.Zero(t, s.ledger.losses)
+	assert.Zero(t, s.ledger.lostResponses())
 }
--- a/server/forward/loss_test.go
+++ b/server/forward/loss_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"hemlockvale.dev/coord/quarantine"
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
@@ -31,12 +34,14 @@
 		// callerTime is how long the caller waits; 0 means until the response.
 		callerTime time.Duration
 		lost       bool
-		reset      bool
+		kind       quarantine.LossKind
 	}{
-		{name: "closed without a response", path: "/once/x", response: "<cut>", lost: true, reset: true},
-		{name: "closed inside the response", path: "/once/x", response: "HTTP/1.1 200 OK\r\nId: r\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhalf<cut>", lost: true, reset: true},
-		{name: "closed inside a stream", path: "/stream/x", response: streamHeader + chunk(eventText(1)) + "<cut>", lost: true, reset: true},
+		{name: "closed without a response", path: "/once/x", response: "<cut>", lost: true, kind: quarantine.Disconnected},
+		{name: "closed inside the response", path: "/once/x", response: "HTTP/1.1 200 OK\r\nId: r\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhalf<cut>", lost: true, kind: quarantine.Disconnected},
+		{name: "closed inside a stream", path: "/stream/x", response: streamHeader + chunk(eventText(1)) + "<cut>", lost: true, kind: quarantine.Disconnected},
 		{name: "silent until the caller left", path: "/once/x", response: "HTTP/1.1 100 Continue\r\n\r\n", callerTime: 50 * time.Millisecond, lost: true},
+		{name: "silent for a while until the caller left", path: "/once/x", response: "HTTP/1.1 100 Continue\r\n\r\n", callerTime: silenceLimit + 50*time.Millisecond, lost: true, kind: quarantine.Silence},
+		{name: "silent for a while inside a stream", path: "/stream/x", response: silentHead + chunk(eventText(1)), callerTime: silenceLimit + 50*time.Millisecond, lost: true, kind: quarantine.Silence},
 		{name: "the caller left inside the response", path: "/stream/x", response: silentHead + chunk(eventText(1)), callerTime: 50 * time.Millisecond},
 		{name: "complete", path: "/once/x", response: responseText("200 OK", "r", "", "fine")},
 		{name: "failed", path: "/once/x", response: responseText("500 Oops", "r", "", "oops")},
@@ -74,7 +79,7 @@
 			assert.NotZero(t, losses[0].Fingerprint)
 			assert.Equal(t, target.address, losses[0].Address)
 			assert.Equal(t, "t-"+target.address, losses[0].Target)
-			assert.Equal(t, c.reset, losses[0].Reset)
+			assert.Equal(t, c.kind, losses[0].Kind)
 		})
 	}
 }
@@ -93,3 +98,23 @@
 	assert.Equal(t, losses[0].Content, losses[1].Content)
 	assert.NotEqual(t, losses[0].Target, losses[1].Target)
 }
+
+// TestIsolatedEntryReportsLostResponses guards against a request that ends all targets of a
+// small deployment unnoticed, because its entry takes the losses for those of its links.
+func TestIsolatedEntryReportsLostResponses(t *testing.T) {
+	const waitingRequests = 3
+	s := startSite(t, 1, time.Minute)
+	var wg sync.WaitGroup
+	for n := range waitingRequests {
+		wg.Go(func() { s.send(t, 0, "once", fmt.Sprint("waiting ", n)) })
+	}
+	require.Eventually(t, func() bool {
+		s.targets.mu.Lock()
+		defer s.targets.mu.Unlock()
+		return len(s.targets.runs) == waitingRequests
+	}, time.Second, time.Millisecond)
+	s.networks[0].set(silentCut)
+	wg.Wait()
+	assert.True(t, s.entries[0].paths.isolated())
+	assert.Equal(t, waitingRequests, s.ledger.lostResponses())
+}
--- a/server/forward/paths.go
+++ b/server/forward/paths.go
@@ -301,6 +301,14 @@
 	w.timer.Reset(min(silenceRecheck, max(breakLimit-quiet, pathInterval)))
 }
 
+// isSilent reports whether nothing was heard from a target for a while, during which a request
+// that was sent at the time sentAt waited.
+func (p *paths) isSilent(target string, sentAt time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bootclock.Now()-max(p.heardAt[target], sentAt) >= silenceLimit
+}
+
 // giveUp closes the connection of a request that may be repeated. One that may not waits on,
 // because its target may be running it. The caller holds p.mu.
 func (p *paths) giveUp(w *wait) {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -142,7 +142,7 @@
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
-	x.unanswered, x.headReceived = true, false
+	x.unanswered, x.headReceived, x.sentAt = true, false, bootclock.Now()
 	w := x.entry.paths.await(grant.Target, c, x.route.Repeatable())
 	defer x.entry.paths.end(w)
 	if err != nil {
@@ -183,19 +183,16 @@
 }
 
 // reportLoss tells the ledger if the response of the granted target was lost, which may be
-// because the request ended the target. A caller that leaves in the middle of a response
-// loses nothing.
+// because the request ended the target. A VM that has lost its links does so too: it can't
+// tell whether all targets have ended.
 func (x *exchange) reportLoss(result dispatch.Result) {
 	if !x.unanswered || result == dispatch.Completed || result == dispatch.Failed {
 		return
 	}
 	x.unanswered = false
-	if x.entry.paths.isolated() {
-		// The loss says something about the links of this VM, not about the target.
-		return
-	}
-	ended := x.ctx.Err() != nil || result == dispatch.Abandoned
-	if ended && x.headReceived {
+	kind := x.lossKind(result)
+	if kind == quarantine.Unfinished && x.headReceived {
+		// The target was sending its response.
 		return
 	}
 	content := quarantine.Content{Fingerprint: x.fingerprint()}
@@ -204,10 +201,21 @@
 	}
 	x.entry.options.Ledger.ReportLoss(ledgerhost.LossReport{Request: x.call.ID, Loss: quarantine.Loss{
 		Content: content, Incarnation: incarnationOf(x.granted),
-		Address: x.granted.Address, Ran: time.Since(x.grantedAt), Reset: !ended || x.request.Context().Err() == nil,
+		Address: x.granted.Address, Ran: time.Since(x.grantedAt), Kind: kind,
 	}})
 }
 
+// lossKind returns how the response of the granted target was lost.
+func (x *exchange) lossKind(result dispatch.Result) quarantine.LossKind {
+	switch {
+	case x.entry.paths.isSilent(x.granted.Target, x.sentAt):
+		return quarantine.Silence
+	case x.ctx.Err() != nil || result == dispatch.Abandoned:
+		return quarantine.Unfinished
+	}
+	return quarantine.Disconnected
+}
+
 // observeLimit records the rate limit that the target's response states. It does not wait
 // for the end of the response, which may be a long stream.
 func (x *exchange) observeLimit(info ResponseInfo) {
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -96,7 +96,7 @@
 		l.Reporter = reporter
 		h.options.Log.WithFields(logrus.Fields{
 			"event": "response_lost", "request": l.Request, "organisation": l.Organisation, "fingerprint": fingerprintText(l.Fingerprint),
-			"target": l.Target, "reset": l.Reset, "ran_ms": l.Ran.Milliseconds(), "age_ms": l.Age.Milliseconds(), "entry": reporter,
+			"target": l.Target, "kind": l.Kind.String(), "ran_ms": l.Ran.Milliseconds(), "age_ms": l.Age.Milliseconds(), "entry": reporter,
 		}).Info("response of a target was lost")
 		crashes, check := h.detector.Lost(bootclock.Now(), l.Loss)
 		h.recordCrashes(crashes)
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -25,7 +25,7 @@
 func lossOf(n int, address string) LossReport {
 	return LossReport{Request: fmt.Sprint("lost ", n), Loss: quarantine.Loss{
 		Content:     quarantine.Content{Organisation: "o", Fingerprint: crashFingerprint},
-		Incarnation: catalog.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}, Address: address, Ran: time.Millisecond, Reset: true,
+		Incarnation: catalog.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}, Address: address, Ran: time.Millisecond, Kind: quarantine.Disconnected,
 	}}
 }
 
