quarantine: VMs that lose their links together no longer confirm each other's losses

What callers saw: sound requests refused as quarantined, for ten minutes or until the blamed targets complete something, after entries had lost their links to targets.

Cause: "another VM can't connect to the target" counted as proof that the target of a lost response had ended. When several entries are cut off at the same moment, one loses the response and another one finds the same target unreachable before either knows that it is its own links.

The word of another VM now only makes the leader connect to the target itself. A crash needs that check, or the later incarnation. Also, a loss that has become a crash isn't proposed again with each further report.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -30,10 +30,10 @@
 	// Superseded means that a later incarnation has announced itself with the id or the
 	// address of the target.
 	Superseded Evidence = "superseded"
-	// Refused means that the target's address refused a connection from another VM than the
-	// one that lost the response.
+	// Refused means that the target's address refused a connection from the VM of the
+	// detector.
 	Refused Evidence = "refused"
-	// Silent means that the target's address did not respond to that other VM.
+	// Silent means that the target's address did not respond to that VM.
 	Silent Evidence = "silent"
 )
 
@@ -92,6 +92,8 @@
 	from, to time.Duration
 	// completedAfter is set if the target has completed a request that it got later.
 	completedAfter bool
+	// evidence is that of the crash which the loss turned out to be; empty if it did not.
+	evidence Evidence
 }
 
 // suspicion is what is known about an incarnation whose responses were lost.
@@ -174,6 +176,7 @@
 
 // crash returns the crash that a loss turned out to be.
 func (d *Detector) crash(l *loss, e Evidence) Crash {
+	l.evidence = e
 	return Crash{Content: l.Content, Incarnation: l.Incarnation, FromUnixMS: d.unixMS + l.from.Milliseconds(), ToUnixMS: d.unixMS + l.to.Milliseconds(), Evidence: e}
 }
 
@@ -292,26 +295,23 @@
 	}
 	var crashes []Crash
 	for _, l := range d.suspicions[i].losses {
-		if !l.completedAfter && now <= l.to+lossRetention {
+		if l.evidence == "" && !l.completedAfter && now <= l.to+lossRetention {
 			crashes = append(crashes, d.crash(l, e))
 		}
 	}
 	return crashes
 }
 
-// Unreachable records that a VM could not connect to a target, and returns the crashes that
-// this shows: those of responses that another VM has lost.
-func (d *Detector) Unreachable(now time.Duration, target, reporter string) []Crash {
-	s := d.suspicions[d.targets[target].Incarnation]
-	if s == nil {
+// Unreachable records that a VM could not connect to a target. It returns the check that
+// should be made if another VM has lost a response there; nil if none is due. Several VMs may
+// have lost their links together, so that their agreement shows nothing.
+func (d *Detector) Unreachable(now time.Duration, target, reporter string) *Check {
+	i := d.targets[target].Incarnation
+	s := d.suspicions[i]
+	if s == nil || !slices.ContainsFunc(s.losses, func(l *loss) bool { return l.Reporter != reporter }) {
 		return nil
 	}
-	for _, l := range s.losses {
-		if l.Reporter != reporter && l.Kind != Unfinished {
-			return d.crashesOf(now, d.targets[target].Incarnation, Refused)
-		}
-	}
-	return nil
+	return d.check(now, i)
 }
 
 // Completed records that a target has completed a request that was granted at the time
--- a/coord/quarantine/records.go
+++ b/coord/quarantine/records.go
@@ -6,8 +6,8 @@
 // safe for concurrent use.
 //
 // Invariants:
-//   - A lost response alone, or the word of one VM alone, never counts as the end of a
-//     target: it takes a second observer, or the later incarnation of the target.
+//   - A lost response alone, or the word of VMs that serve callers, never counts as the end
+//     of a target: it takes the detector's own check, or the later incarnation of the target.
 //   - Each incarnation of a target counts once for a content.
 //   - A content that is held back is forgotten last, and of the others first one of the
 //     organisation that has most suspects.
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -159,7 +159,7 @@
 			h.options.Log.WithFields(logrus.Fields{"event": "target_unreachable", "request": r.ID, "target": r.Target, "entry": entry, "entry_isolated": r.Result == dispatch.NoPath}).Info("an entry could not connect to a target")
 		}
 		if r.Result == dispatch.Unreachable {
-			h.recordCrashes(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
+			h.startCheck(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
 		}
 		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
 		return
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -100,15 +100,17 @@
 		}).Info("response of a target was lost")
 		crashes, check := h.detector.Lost(bootclock.Now(), l.Loss)
 		h.recordCrashes(crashes)
-		if check != nil {
-			h.startCheck(*check)
-		}
+		h.startCheck(check)
 	}
 }
 
-// startCheck connects to a target in a goroutine. If too many checks are in progress, it
-// leaves the check out, and only a later incarnation shows that the target has ended.
-func (h *Host) startCheck(c quarantine.Check) {
+// startCheck connects to a target in a goroutine, unless c is nil. If too many checks are in
+// progress, it leaves the check out, and only a later incarnation shows that the target has
+// ended.
+func (h *Host) startCheck(c *quarantine.Check) {
+	if c == nil {
+		return
+	}
 	select {
 	case h.checkSlots <- struct{}{}:
 	default:
@@ -123,7 +125,7 @@
 		defer h.mu.Unlock()
 		h.options.Log.WithFields(logrus.Fields{"event": "target_check", "target": c.Target, "error": err}).Info("target was checked after a lost response")
 		if detector == h.detector {
-			h.recordCrashes(detector.Checked(bootclock.Now(), c, result))
+			h.recordCrashes(detector.Checked(bootclock.Now(), *c, result))
 		}
 	}()
 }
@@ -202,7 +204,7 @@
 // repeatChecks repeats the checks of targets that did not respond. The caller holds h.mu.
 func (h *Host) repeatChecks() {
 	for _, c := range h.detector.Due(bootclock.Now()) {
-		h.startCheck(c)
+		h.startCheck(&c)
 	}
 }
 
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -110,8 +110,8 @@
 	return 0
 }
 
-// TestTargetsThatListenHaveNotEnded guards against a request that is held back because an
-// entry lost its connections to sound targets.
+// TestTargetsThatListenHaveNotEnded guards against a request that is held back because
+// entries lost their connections to sound targets, one alone or several together.
 func TestTargetsThatListenHaveNotEnded(t *testing.T) {
 	s := startStore(t, t.TempDir())
 	s.awaitLeader(t)
@@ -123,6 +123,10 @@
 		// The address of the store VM itself stands for that of a target.
 		c.ReportLoss(lossOf(n, s.address))
 		c.Done(DoneReport{ID: "other", Target: fmt.Sprint("t", n), Result: dispatch.Unreachable})
+		time.Sleep(20 * time.Millisecond)
+		s.host.mu.Lock()
+		s.host.done("another entry", DoneReport{ID: "third", Target: fmt.Sprint("t", n), Result: dispatch.Unreachable})
+		s.host.mu.Unlock()
 	}
 	time.Sleep(100 * time.Millisecond)
 	assert.Zero(t, s.ended(t))
