quarantine: an earlier lost response does not hide that the same request ends its target later

Cause: the detector remembers one loss for a content and a target. A response that a sound target lost stays remembered for 20 s, marked as followed by complete requests. If the same request comes back to that target within this time and ends it, its loss was taken for a repeated report of the first one, and the target for sound: the crash went uncounted.

A later run replaces the earlier one; a repeated report of the same run, as a new leader gets it, still changes nothing.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -212,16 +212,22 @@
 	return &Check{i, s.losses[0].Address}
 }
 
-// addLoss remembers a loss, unless it is known.
+// addLoss remembers a loss, unless it is known. Of several runs of a content at one target,
+// the latest is remembered.
 func (d *Detector) addLoss(now time.Duration, s *suspicion, reported Loss) {
+	to := now - reported.Age
+	l := &loss{Loss: reported, from: to - reported.Ran, to: to}
 	for _, known := range s.losses {
-		if known.Content == reported.Content {
+		if known.Content != l.Content {
+			continue
+		}
+		if l.from < known.to {
 			return
 		}
+		d.drop(slices.Index(d.order, known))
+		break
 	}
 	d.makeRoom(reported.Organisation)
-	to := now - reported.Age
-	l := &loss{Loss: reported, from: to - reported.Ran, to: to}
 	s.losses = append(s.losses, l)
 	d.order = append(d.order, l)
 	d.perOrganisation[reported.Organisation]++
@@ -234,12 +240,16 @@
 	if !full && len(d.order) < maxLosses {
 		return
 	}
-	oldest := slices.IndexFunc(d.order, func(l *loss) bool { return !full || l.Organisation == organisation })
-	l := d.order[oldest]
+	d.drop(slices.IndexFunc(d.order, func(l *loss) bool { return !full || l.Organisation == organisation }))
+}
+
+// drop forgets the loss at an index of d.order.
+func (d *Detector) drop(index int) {
+	l := d.order[index]
 	if s := d.suspicions[l.Incarnation]; s != nil {
 		s.losses = slices.DeleteFunc(s.losses, func(other *loss) bool { return other == l })
 	}
-	d.order = slices.Delete(d.order, oldest, oldest+1)
+	d.order = slices.Delete(d.order, index, index+1)
 	d.uncount(l)
 }
 
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -109,6 +109,14 @@
 		{"leader changes after each crash", func(m *model, _ int) { m.changeLeader() }},
 		{"target returns under another id", func(m *model, n int) { m.restart(n, fmt.Sprint("new ", n)) }},
 		{"an earlier response of the target is reported late", func(m *model, n int) { m.complete(other, n, m.now-2*runTime) }},
+		{"its response was lost at a target that it ended only later", func(m *model, n int) {
+			next := (n + 1) % len(m.targets)
+			check := m.lose(content, next, "entry 1")
+			m.apply(m.detector.Checked(m.now, *check, Connected))
+			m.now += runTime
+			m.complete(other, next, m.now)
+			m.now += time.Second
+		}},
 		{"the request completes now and then", func(m *model, n int) {
 			m.restart(n, fmt.Sprint("new ", n))
 			m.now += runTime
