quarantine: copies of a request that run at the same time count one by one if their targets end one by one

Cause: runs of a content that overlap counted as one crash, so that a failure of many targets at once blames no frequent request. A caller that does not wait for the end of one attempt before it sends the next one makes all of its runs overlap; then three counted crashes took as many runs as fit into two attempts.

Runs that overlap count separately if the connections to their targets failed more than 250 ms apart: targets that fail for one reason fail together. Where targets had only been silent, the moment of their end is unknown, and overlapping runs still count once. Test: quarantine.TestRunsAtTheSameTime; "connections fail one after the other" was not held back before.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -177,7 +177,10 @@
 // crash returns the crash that a loss turned out to be.
 func (d *Detector) crash(l *loss, e Evidence) Crash {
 	l.evidence = e
-	return Crash{Content: l.Content, Incarnation: l.Incarnation, FromUnixMS: d.unixMS + l.from.Milliseconds(), ToUnixMS: d.unixMS + l.to.Milliseconds(), Evidence: e}
+	return Crash{
+		Content: l.Content, Incarnation: l.Incarnation, FromUnixMS: d.unixMS + l.from.Milliseconds(), ToUnixMS: d.unixMS + l.to.Milliseconds(),
+		EndKnown: l.Kind == Disconnected, Evidence: e,
+	}
 }
 
 // Lost records a lost response. It returns the crashes that are evident, and the check that
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -134,6 +134,38 @@
 	}
 }
 
+// TestRunsAtTheSameTime guards against a request that ends one target after the other without
+// being recognised because its caller sends it again before the earlier run has ended, and
+// against blaming a request for targets that fail together.
+func TestRunsAtTheSameTime(t *testing.T) {
+	const interval = time.Second
+	for _, scenario := range []struct {
+		name     string
+		kind     LossKind
+		spacing  time.Duration
+		heldBack bool
+	}{
+		{"connections fail one after the other", Disconnected, interval, true},
+		{"connections fail together", Disconnected, 0, false},
+		{"targets have been silent for an unknown time", Silence, interval, false},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			m := newModel(2 * Threshold)
+			content := Content{"o", 7}
+			for n := range Threshold {
+				m.now += scenario.spacing
+				l := m.loss(content, n, "entry 1")
+				l.Ran, l.Kind = 10*interval, scenario.kind
+				crashes, check := m.detector.Lost(m.now, l)
+				require.Empty(t, crashes)
+				m.apply(m.detector.Checked(m.now, *check, NotListening))
+			}
+			assert.True(t, m.records.Suspects(content))
+			assert.Equal(t, scenario.heldBack, m.records.HeldBack(content))
+		})
+	}
+}
+
 // TestEndedTargetsAreRecognised guards against crashes that go unnoticed because one kind of
 // evidence is missing.
 func TestEndedTargetsAreRecognised(t *testing.T) {
--- a/coord/quarantine/records.go
+++ b/coord/quarantine/records.go
@@ -28,6 +28,9 @@
 	maxCompletionsPerCrash = 3
 	// RetentionSeconds is how long a content is suspect after its latest crash.
 	RetentionSeconds = 600
+	// failureSpanMS is the time in milliseconds within which the targets end that fail for the
+	// same reason.
+	failureSpanMS = 250
 	// maxCrashes bounds the crashes that are recorded for one content.
 	maxCrashes = 8
 	// maxPerOrganisation and maxSuspects bound the suspects.
@@ -51,6 +54,9 @@
 	// Unix milliseconds.
 	FromUnixMS int64 `json:"from"`
 	ToUnixMS   int64 `json:"to"`
+	// EndKnown is set if the target ended at ToUnixMS. Otherwise it had been silent for some
+	// time by then.
+	EndKnown bool `json:"end_known,omitempty"`
 	// Evidence says how the end is known, for logs.
 	Evidence Evidence `json:"evidence"`
 }
@@ -109,9 +115,20 @@
 	}
 }
 
-// recordCrash adds a crash to its content. Runs that overlap count once: a request that
-// ends targets is sent again after its response was lost, while a failure of many targets
-// at once meets all runs of a content at the same time.
+// sameFailure reports whether another crash counts as the same: that of the same
+// incarnation, or one whose run overlaps. A failure of many targets at once meets all runs of
+// a content, while a request that ends targets is sent again after its response was lost. Runs
+// that overlap but are known to have ended one after the other were ended by the request.
+func (c Crash) sameFailure(other Crash) bool {
+	if c.Incarnation == other.Incarnation {
+		return true
+	}
+	overlap := c.FromUnixMS < other.ToUnixMS && other.FromUnixMS < c.ToUnixMS
+	apart := c.EndKnown && other.EndKnown && max(c.ToUnixMS-other.ToUnixMS, other.ToUnixMS-c.ToUnixMS) > failureSpanMS
+	return overlap && !apart
+}
+
+// recordCrash adds a crash to its content, unless it is the same failure as another one.
 func (r *Records) recordCrash(nowSeconds int64, c Crash) {
 	s := r.suspects[c.Content]
 	if s == nil {
@@ -120,10 +137,7 @@
 		r.suspects[c.Content] = s
 		r.perOrganisation[c.Organisation]++
 	}
-	overlaps := func(other Crash) bool {
-		return c.Incarnation == other.Incarnation || c.FromUnixMS < other.ToUnixMS && other.FromUnixMS < c.ToUnixMS
-	}
-	if slices.ContainsFunc(s.Crashes, overlaps) {
+	if slices.ContainsFunc(s.Crashes, c.sameFailure) {
 		return
 	}
 	s.Crashes = append(s.Crashes, c)
