ledger: a reservation is confirmed to the entry that took the request over

What callers saw: streams of programs that an entry without links had passed to another entry stayed empty until the caller left after two seconds, though their target had generated them.

Cause: the first entry asks for admission, which starts to reserve the turn's tokens, finds the granted targets unreachable (or is told that the path is lost) and passes the request on. The second entry's admission finds the reservation made, and the leader tells the outcome only to the connections that watched it, those of the first entry. The second entry holds back each event until the reservation is durable, which it never hears. An entry that knows of its isolation passes requests on before any admission, so this shows where connections live on while new ones are refused, or where some targets are lost.

The leader now watches the reservation for each entry that asks for admission with it. Class: a promise of one entry's connection that another entry depends on. Looked at for the same: the outcome of an admission (bound to the latest connection), origins of streams and leaving targets (reported by the entry that serves), the final settlement (made by the entry that serves): sound as read.

Test: ledger.TestReservationIsConfirmedToTheEntryThatTookTheRequest (fails before: no confirmation within two seconds).

--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -56,6 +56,8 @@
 			h.finish(a, AdmitResponse{Refusal: BudgetExhausted})
 			return
 		}
+		// Another entry may have made the reservation before it passed the request on.
+		h.watchReservation(r.Reserve, a.link)
 	}
 	outcome := h.dispatcher.Admit(a.receivedAt, r.Request)
 	if !outcome.Waiting() {
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -179,6 +179,26 @@
 	assert.Equal(t, BudgetExhausted, response.Refusal, "50 tokens are spent and 30 reserved")
 }
 
+// TestReservationIsConfirmedToTheEntryThatTookTheRequest guards against a turn that is never
+// delivered because its reservation was made for another entry, which passed it on.
+func TestReservationIsConfirmedToTheEntryThatTookTheRequest(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	addresses := func() []string { return []string{s.address} }
+	first, second := startClient(t, addresses), startClient(t, addresses)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	turn := turnRequest("a", 100, 60)
+	response, err := first.Admit(ctx, turn)
+	require.NoError(t, err)
+	require.Equal(t, "t", response.Target)
+	first.Done(DoneReport{ID: "a", Target: "t", Result: dispatch.NoPath})
+	turn.Attempt++
+	_, err = second.Admit(ctx, turn)
+	require.NoError(t, err)
+	assert.NoError(t, second.Confirm(ctx, *turn.Reserve))
+}
+
 // TestNewLeaderLearnsTheRates guards against a new leader that grants requests at a target
 // without the rate limit that the entries know.
 func TestNewLeaderLearnsTheRates(t *testing.T) {
