quarantine: the memory of lost responses moves to a type of its own

Losses now expire one by one instead of with the latest one of their target. No other change of behaviour is meant; the tests are unchanged but for two field names.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// lossRetention is how long after a lost response the end of its target counts as its
-	// consequence. A target that has ended is back some seconds later.
-	lossRetention = 20 * time.Second
 	// minCheckInterval is the time between two checks of one target.
 	minCheckInterval = 500 * time.Millisecond
 	// silentChecks is the number of successive checks without any response that show the
@@ -18,9 +15,6 @@
 	// silent for a second or so.
 	silentChecks = 3
 	silentTime   = 3 * time.Second
-	// maxLosses and maxLossesPerOrganisation bound the lost responses that are remembered.
-	maxLosses                = 4096
-	maxLossesPerOrganisation = 512
 )
 
 // Evidence is what shows that a target has ended.
@@ -37,31 +31,6 @@
 	Silent Evidence = "silent"
 )
 
-// LossKind is how the response to a request was lost. Its values are part of the protocol
-// between VMs.
-type LossKind int8
-
-const (
-	// Unfinished means that the caller left, or its time ran out, while the target may still
-	// have been at work.
-	Unfinished LossKind = iota
-	// Silence means that the target had been silent for a while.
-	Silence
-	// Disconnected means that the connection failed.
-	Disconnected
-)
-
-// String returns the kind as logs show it.
-func (k LossKind) String() string {
-	switch k {
-	case Silence:
-		return "silence"
-	case Disconnected:
-		return "disconnected"
-	}
-	return "unfinished"
-}
-
 // Target is a target as the catalog lists it.
 type Target struct {
 	catalog.Incarnation
@@ -71,34 +40,8 @@
 	Leaving bool
 }
 
-// Loss is a request whose response was lost.
-type Loss struct {
-	Content
-	catalog.Incarnation
-	// Address is the address of the target.
-	Address string
-	// Reporter identifies the VM that lost the response.
-	Reporter string
-	// Ran is the time from the grant of the request to the loss, and Age the time since
-	// then.
-	Ran, Age time.Duration
-	// Kind is how the response was lost.
-	Kind LossKind
-}
-
-// loss is a Loss with its times on the clock of the detector.
-type loss struct {
-	Loss
-	from, to time.Duration
-	// completedAfter is set if the target has completed a request that it got later.
-	completedAfter bool
-	// evidence is that of the crash which the loss turned out to be; empty if it did not.
-	evidence Evidence
-}
-
-// suspicion is what is known about an incarnation whose responses were lost.
-type suspicion struct {
-	losses []*loss
+// checkState is what the checks of an incarnation have shown.
+type checkState struct {
 	// checkedAt is the time of the latest check; silent is the number of successive checks
 	// without a response, the first of which was at silentSince.
 	checkedAt   time.Duration
@@ -116,14 +59,12 @@
 // Detector decides whether targets have ended while they ran a request.
 type Detector struct {
 	// unixMS is the Unix time in milliseconds at the time 0 of the detector's clock.
-	unixMS     int64
-	targets    map[string]Target
-	byAddress  map[string]Target
-	suspicions map[catalog.Incarnation]*suspicion
-	// order holds the remembered losses, the oldest report first, and perOrganisation counts
-	// them.
-	order           []*loss
-	perOrganisation map[string]int
+	unixMS    int64
+	targets   map[string]Target
+	byAddress map[string]Target
+	losses    losses
+	// checks holds the states of the incarnations that were checked after a loss.
+	checks map[catalog.Incarnation]*checkState
 }
 
 // NewDetector returns a detector without targets. The detector's clock shows now at the
@@ -131,7 +72,7 @@
 func NewDetector(now time.Duration, unixMS int64) *Detector {
 	return &Detector{
 		unixMS: unixMS - now.Milliseconds(), targets: make(map[string]Target), byAddress: make(map[string]Target),
-		suspicions: make(map[catalog.Incarnation]*suspicion), perOrganisation: make(map[string]int),
+		losses: newLosses(), checks: make(map[catalog.Incarnation]*checkState),
 	}
 }
 
@@ -146,7 +87,7 @@
 		}
 	}
 	var crashes []Crash
-	for i := range d.suspicions {
+	for i := range d.losses.byIncarnation {
 		crashes = append(crashes, d.superseded(now, i)...)
 	}
 	return crashes
@@ -155,17 +96,17 @@
 // superseded returns the crashes of an incarnation that is not listed any more, and forgets
 // it. An incarnation without a successor has left as planned.
 func (d *Detector) superseded(now time.Duration, i catalog.Incarnation) []Crash {
-	s := d.suspicions[i]
+	list := d.losses.of(i)
 	current, listed := d.targets[i.Target]
-	if listed && current.StartedUnixMS <= i.StartedUnixMS || len(s.losses) == 0 {
+	if listed && current.StartedUnixMS <= i.StartedUnixMS || len(list) == 0 {
 		return nil
 	}
 	// A target that restarted under its id completes requests before its successor is known.
 	restarted := listed
-	successor, replaced := d.byAddress[s.losses[0].Address]
+	successor, replaced := d.byAddress[list[0].Address]
 	replaced = replaced && successor.StartedUnixMS > i.StartedUnixMS
 	var crashes []Crash
-	for _, l := range s.losses {
+	for _, l := range list {
 		if now <= l.to+lossRetention && (restarted || replaced && !l.completedAfter) {
 			crashes = append(crashes, d.crash(l, Superseded))
 		}
@@ -190,12 +131,8 @@
 	if t, ok := d.targets[reported.Target]; ok && t.Incarnation == reported.Incarnation && t.Leaving {
 		return nil, nil
 	}
-	s := d.suspicions[reported.Incarnation]
-	if s == nil {
-		s = &suspicion{checkedAt: now - minCheckInterval}
-		d.suspicions[reported.Incarnation] = s
-	}
-	d.addLoss(now, s, reported)
+	to := now - reported.Age
+	d.losses.add(&loss{Loss: reported, from: to - reported.Ran, to: to})
 	if crashes := d.superseded(now, reported.Incarnation); len(crashes) > 0 {
 		return crashes, nil
 	}
@@ -207,60 +144,16 @@
 
 // check returns the check of an incarnation whose responses were lost; nil if none is due.
 func (d *Detector) check(now time.Duration, i catalog.Incarnation) *Check {
-	s := d.suspicions[i]
-	if s == nil || len(s.losses) == 0 || now < s.checkedAt+minCheckInterval {
+	list, c := d.losses.of(i), d.checks[i]
+	if len(list) == 0 || c != nil && now < c.checkedAt+minCheckInterval {
 		return nil
 	}
-	s.checkedAt = now
-	return &Check{i, s.losses[0].Address}
-}
-
-// addLoss remembers a loss, unless it is known. Of several runs of a content at one target,
-// the latest is remembered.
-func (d *Detector) addLoss(now time.Duration, s *suspicion, reported Loss) {
-	to := now - reported.Age
-	l := &loss{Loss: reported, from: to - reported.Ran, to: to}
-	for _, known := range s.losses {
-		if known.Content != l.Content {
-			continue
-		}
-		if l.from < known.to {
-			return
-		}
-		d.drop(slices.Index(d.order, known))
-		break
-	}
-	d.makeRoom(reported.Organisation)
-	s.losses = append(s.losses, l)
-	d.order = append(d.order, l)
-	d.perOrganisation[reported.Organisation]++
-}
-
-// makeRoom drops the oldest loss if the limits allow no further one of an organisation: one
-// of the same organisation if that has reached its own limit, and otherwise any.
-func (d *Detector) makeRoom(organisation string) {
-	full := d.perOrganisation[organisation] >= maxLossesPerOrganisation
-	if !full && len(d.order) < maxLosses {
-		return
-	}
-	d.drop(slices.IndexFunc(d.order, func(l *loss) bool { return !full || l.Organisation == organisation }))
-}
-
-// drop forgets the loss at an index of d.order.
-func (d *Detector) drop(index int) {
-	l := d.order[index]
-	if s := d.suspicions[l.Incarnation]; s != nil {
-		s.losses = slices.DeleteFunc(s.losses, func(other *loss) bool { return other == l })
-	}
-	d.order = slices.Delete(d.order, index, index+1)
-	d.uncount(l)
-}
-
-func (d *Detector) uncount(l *loss) {
-	d.perOrganisation[l.Organisation]--
-	if d.perOrganisation[l.Organisation] == 0 {
-		delete(d.perOrganisation, l.Organisation)
+	if c == nil {
+		c = &checkState{}
+		d.checks[i] = c
 	}
+	c.checkedAt = now
+	return &Check{i, list[0].Address}
 }
 
 // Result is the result of a check.
@@ -277,26 +170,24 @@
 
 // Checked records the result of a check and returns the crashes that it shows.
 func (d *Detector) Checked(now time.Duration, c Check, r Result) []Crash {
-	s := d.suspicions[c.Incarnation]
-	if s == nil {
+	state := d.checks[c.Incarnation]
+	switch {
+	case state == nil:
+		return nil
+	case r == Connected:
+		state.silent = 0
 		return nil
+	case r == NotListening:
+		return d.crashesOf(now, c.Incarnation, Refused)
+	}
+	if state.silent == 0 {
+		state.silentSince = now
 	}
-	evidence := Refused
-	switch r {
-	case Connected:
-		s.silent = 0
+	state.silent++
+	if state.silent < silentChecks || now < state.silentSince+silentTime {
 		return nil
-	case NoResponse:
-		evidence = Silent
-		if s.silent == 0 {
-			s.silentSince = now
-		}
-		s.silent++
-		if s.silent < silentChecks || now < s.silentSince+silentTime {
-			return nil
-		}
 	}
-	return d.crashesOf(now, c.Incarnation, evidence)
+	return d.crashesOf(now, c.Incarnation, Silent)
 }
 
 // crashesOf returns the crashes that the end of an incarnation makes of its losses. The end
@@ -307,7 +198,7 @@
 		return nil
 	}
 	var crashes []Crash
-	for _, l := range d.suspicions[i].losses {
+	for _, l := range d.losses.of(i) {
 		if l.evidence == "" && !l.completedAfter && now <= l.to+lossRetention {
 			crashes = append(crashes, d.crash(l, e))
 		}
@@ -320,8 +211,7 @@
 // have lost their links together, so that their agreement shows nothing.
 func (d *Detector) Unreachable(now time.Duration, target, reporter string) *Check {
 	i := d.targets[target].Incarnation
-	s := d.suspicions[i]
-	if s == nil || !slices.ContainsFunc(s.losses, func(l *loss) bool { return l.Reporter != reporter }) {
+	if !slices.ContainsFunc(d.losses.of(i), func(l *loss) bool { return l.Reporter != reporter }) {
 		return nil
 	}
 	return d.check(now, i)
@@ -332,40 +222,38 @@
 // milliseconds.
 func (d *Detector) Completed(target string, grantedAt time.Duration) (catalog.Incarnation, int64) {
 	alive := d.targets[target].Incarnation
-	if s := d.suspicions[alive]; s != nil {
-		for _, l := range s.losses {
-			// A response to an earlier request may have been complete before the loss.
-			l.completedAfter = l.completedAfter || grantedAt > l.to
-		}
+	for _, l := range d.losses.of(alive) {
+		// A response to an earlier request may have been complete before the loss.
+		l.completedAfter = l.completedAfter || grantedAt > l.to
 	}
 	return alive, d.unixMS + grantedAt.Milliseconds()
 }
 
 // Due returns the checks that must be repeated: those of targets that have not responded.
 func (d *Detector) Due(now time.Duration) []Check {
-	var checks []Check
-	for i, s := range d.suspicions {
-		if s.silent > 0 && len(s.losses) > 0 && now >= s.checkedAt+silentTime/2 {
-			s.checkedAt = now
-			checks = append(checks, Check{i, s.losses[0].Address})
+	var due []Check
+	for i, state := range d.checks {
+		if state.silent == 0 || now < state.checkedAt+silentTime/2 {
+			continue
+		}
+		if c := d.check(now, i); c != nil {
+			due = append(due, *c)
 		}
 	}
-	return checks
+	return due
 }
 
 // Sweep forgets the losses whose retention has ended.
 func (d *Detector) Sweep(now time.Duration) {
-	for i, s := range d.suspicions {
-		if len(s.losses) == 0 || now > s.losses[len(s.losses)-1].to+lossRetention {
-			d.forget(i)
+	d.losses.expire(now - lossRetention)
+	for i := range d.checks {
+		if len(d.losses.of(i)) == 0 {
+			delete(d.checks, i)
 		}
 	}
 }
 
 func (d *Detector) forget(i catalog.Incarnation) {
-	for _, l := range d.suspicions[i].losses {
-		d.uncount(l)
-	}
-	d.order = slices.DeleteFunc(d.order, func(l *loss) bool { return l.Incarnation == i })
-	delete(d.suspicions, i)
+	d.losses.forget(i)
+	delete(d.checks, i)
 }
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -352,10 +352,10 @@
 		m.lose(Content{fmt.Sprint(n % 16), uint64(n)}, 0, "entry 1")
 		m.now -= runTime
 	}
-	assert.LessOrEqual(t, len(m.detector.order), maxLosses)
+	assert.LessOrEqual(t, len(m.detector.losses.order), maxLosses)
 	m.detector.Sweep(m.now + time.Minute)
-	assert.Empty(t, m.detector.order)
-	assert.Empty(t, m.detector.perOrganisation)
+	assert.Empty(t, m.detector.losses.order)
+	assert.Empty(t, m.detector.losses.perOrganisation)
 }
 
 // TestLossesOfOthersDoNotHideACrash guards against a request that goes on ending targets
@@ -368,5 +368,5 @@
 		m.now -= runTime
 	}
 	assert.Equal(t, Threshold, m.sendUntilHeldBack(Content{"o", 7}, func(int) {}))
-	assert.LessOrEqual(t, m.detector.perOrganisation["o"], maxLossesPerOrganisation)
+	assert.LessOrEqual(t, m.detector.losses.perOrganisation["o"], maxLossesPerOrganisation)
 }
