quarantine: a target that has just been checked is checked again after a further loss

Cause: the ledger's leader checks a target at most twice a second, and dropped the checks that came sooner. If a sound response was lost first, and the request that ends targets was lost at the same target within half a second, the only check had found the target listening; the crash was seen only by a later incarnation or by another entry. The same when 32 checks were in progress.

Such checks are now made as soon as they are allowed. Cost: at most two connections a second to a target with lost responses, as before. Test: quarantine.TestCheckThatIsDueLaterIsMade (before, no check was due afterwards).

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -47,6 +47,16 @@
 	checkedAt   time.Duration
 	silent      int
 	silentSince time.Duration
+	// wanted is set if a further check should be made at the time wantedAt.
+	wanted   bool
+	wantedAt time.Duration
+}
+
+// want requests a check at a time, unless one is requested already.
+func (s *checkState) want(at time.Duration) {
+	if !s.wanted {
+		s.wanted, s.wantedAt = true, at
+	}
 }
 
 // Check requests to connect to the address of a target, and to report the result with
@@ -142,20 +152,32 @@
 	return nil, d.check(now, reported.Incarnation)
 }
 
-// check returns the check of an incarnation whose responses were lost; nil if none is due.
+// check returns the check of an incarnation whose responses were lost; nil if there are none,
+// or if the incarnation was checked just before. Then Due returns the check later.
 func (d *Detector) check(now time.Duration, i catalog.Incarnation) *Check {
-	list, c := d.losses.of(i), d.checks[i]
-	if len(list) == 0 || c != nil && now < c.checkedAt+minCheckInterval {
+	list, state := d.losses.of(i), d.checks[i]
+	if len(list) == 0 {
 		return nil
 	}
-	if c == nil {
-		c = &checkState{}
-		d.checks[i] = c
+	if state == nil {
+		state = &checkState{checkedAt: now - minCheckInterval}
+		d.checks[i] = state
+	}
+	if next := state.checkedAt + minCheckInterval; now < next {
+		state.want(next)
+		return nil
 	}
-	c.checkedAt = now
+	state.checkedAt, state.wanted = now, false
 	return &Check{i, list[0].Address}
 }
 
+// Postpone records that a check could not be made, so that Due returns it again.
+func (d *Detector) Postpone(c Check) {
+	if state := d.checks[c.Incarnation]; state != nil {
+		state.want(state.checkedAt + minCheckInterval)
+	}
+}
+
 // Result is the result of a check.
 type Result int
 
@@ -185,6 +207,7 @@
 	}
 	state.silent++
 	if state.silent < silentChecks || now < state.silentSince+silentTime {
+		state.want(state.checkedAt + silentTime/2)
 		return nil
 	}
 	return d.crashesOf(now, c.Incarnation, Silent)
@@ -229,11 +252,12 @@
 	return alive, d.unixMS + grantedAt.Milliseconds()
 }
 
-// Due returns the checks that must be repeated: those of targets that have not responded.
+// Due returns the checks that should be made now: those that were not made earlier, and
+// those of targets that have not responded.
 func (d *Detector) Due(now time.Duration) []Check {
 	var due []Check
 	for i, state := range d.checks {
-		if state.silent == 0 || now < state.checkedAt+silentTime/2 {
+		if !state.wanted || now < state.wantedAt {
 			continue
 		}
 		if c := d.check(now, i); c != nil {
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// TestCheckThatIsDueLaterIsMade guards against a crash that goes unnoticed because its target
+// has just been checked, or because too many checks are in progress.
+func TestCheckThatIsDueLaterIsMade(t *testing.T) {
+	m := newModel(2)
+	content := Content{"o", 7}
+	check := m.lose(Content{"o", 8}, 0, "entry 1")
+	m.apply(m.detector.Checked(m.now, *check, Connected))
+	require.Nil(t, m.lose(content, 0, "entry 1"), "the target has just been checked")
+	require.Empty(t, m.detector.Due(m.now))
+	var due []Check
+	for range 3 {
+		if len(due) > 0 {
+			m.detector.Postpone(due[0])
+		}
+		m.now += minCheckInterval
+		due = m.detector.Due(m.now)
+		require.Len(t, due, 1)
+	}
+	m.apply(m.detector.Checked(m.now, due[0], NotListening))
+	assert.True(t, m.records.Suspects(content))
+	m.now += minCheckInterval
+	assert.Empty(t, m.detector.Due(m.now))
+}
+
 // TestSoundRequestsAreNotHeldBack guards against requests that are held back although they
 // ended no target: an entry has lost its links, targets leave or fail for other reasons.
 func TestSoundRequestsAreNotHeldBack(t *testing.T) {
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -226,7 +226,7 @@
 	h.answerParked()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.dispatcher.Tick(bootclock.Now()))
-		h.repeatChecks()
+		h.startDueChecks()
 	}
 }
 
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -105,8 +105,7 @@
 }
 
 // startCheck connects to a target in a goroutine, unless c is nil. If too many checks are in
-// progress, it leaves the check out, and only a later incarnation shows that the target has
-// ended.
+// progress, it postpones the check.
 func (h *Host) startCheck(c *quarantine.Check) {
 	if c == nil {
 		return
@@ -114,7 +113,8 @@
 	select {
 	case h.checkSlots <- struct{}{}:
 	default:
-		h.options.Log.WithFields(logrus.Fields{"event": "target_check_skipped", "target": c.Target}).Warn("too many checks of targets are in progress")
+		h.options.Log.WithFields(logrus.Fields{"event": "target_check_postponed", "target": c.Target}).Warn("too many checks of targets are in progress")
+		h.detector.Postpone(*c)
 		return
 	}
 	detector := h.detector
@@ -201,8 +201,9 @@
 	}
 }
 
-// repeatChecks repeats the checks of targets that did not respond. The caller holds h.mu.
-func (h *Host) repeatChecks() {
+// startDueChecks makes the checks that were not made earlier, and repeats those of targets that
+// did not respond. The caller holds h.mu.
+func (h *Host) startDueChecks() {
 	for _, c := range h.detector.Due(bootclock.Now()) {
 		h.startCheck(&c)
 	}
