--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -11,8 +11,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,14 +23,6 @@
 	// dialTimeout bounds a connection attempt to a target. No part of the request is
 	// sent before the connection is established.
 	dialTimeout = 350 * time.Millisecond
-	// maxIdlePerTarget bounds the idle connections to one target.
-	maxIdlePerTarget = 4
-	// defaultIdleTimeout is how long an idle connection is kept if the target states
-	// no idle timeout.
-	defaultIdleTimeout = 4 * time.Second
-	// idleMargin is subtracted from the target's idle timeout, so that the target does
-	// not close a connection while a request is being sent on it.
-	idleMargin = 700 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 	// maxInlineBodyBytes is the longest body that is written together with the header.
@@ -117,25 +107,6 @@
 	return len(c.refused) < maxRefusals && !slices.Contains(c.refused, requestID)
 }
 
-// connPool holds idle connections by target. It never retries a request: the
-// caller decides whether a request may be sent again.
-type connPool struct {
-	// opened counts the connections that were established.
-	opened atomic.Int64
-	// connect makes a TCP connection to a target.
-	connect func(ctx context.Context, address string) (net.Conn, error)
-
-	mu   sync.Mutex
-	idle map[string][]*conn
-}
-
-func newConnPool(connect func(ctx context.Context, address string) (net.Conn, error)) *connPool {
-	if connect == nil {
-		connect = connectTCP
-	}
-	return &connPool{connect: connect, idle: make(map[string][]*conn)}
-}
-
 // connectTCP connects to a target.
 func connectTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
@@ -148,107 +119,6 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
 }
 
-// get returns an idle connection to the target on which a request may be sent, or dials a new
-// one.
-func (p *connPool) get(ctx context.Context, target, address, requestID string) (*conn, error) {
-	for {
-		c := p.takeIdle(target)
-		if c == nil {
-			break
-		}
-		if time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
-			return c, nil
-		}
-		c.Close()
-	}
-	return p.dial(ctx, address)
-}
-
-// dial makes a new connection to a target.
-func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.connect(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotSent, err)
-	}
-	p.opened.Add(1)
-	return newConn(raw), nil
-}
-
-// hasIdle reports whether there is an idle connection to a target that it has not closed.
-func (p *connPool) hasIdle(target string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[target], func(c *conn) bool { return time.Now().Before(c.idleUntil) && c.isIdle() })
-}
-
-// drop closes the idle connections to a target.
-func (p *connPool) drop(target string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[target] {
-		c.Close()
-	}
-	delete(p.idle, target)
-}
-
-// takeIdle removes and returns the most recently used idle connection to the
-// target, or nil.
-func (p *connPool) takeIdle(target string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[target]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[target] = list[:len(list)-1]
-	return c
-}
-
-// put returns a connection to the pool after a complete exchange. idle is the
-// target's idle timeout, or 0 if it stated none.
-func (p *connPool) put(target string, c *conn, idle time.Duration) {
-	if idle == 0 {
-		idle = defaultIdleTimeout
-	}
-	idle -= idleMargin
-	if idle <= 0 || c.reader.Buffered() > 0 || !c.awaitWritten() {
-		c.Close()
-		return
-	}
-	c.idleUntil = time.Now().Add(idle)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[target]) >= maxIdlePerTarget {
-		c.Close()
-		return
-	}
-	p.idle[target] = append(p.idle[target], c)
-}
-
-// closeExpired closes idle connections that have expired or whose target is no
-// longer known.
-func (p *connPool) closeExpired(known func(target string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for target, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if known(target) && now.Before(c.idleUntil) {
-				kept = append(kept, c)
-			} else {
-				c.Close()
-			}
-		}
-		clear(list[len(kept):])
-		p.idle[target] = kept
-		if len(kept) == 0 {
-			delete(p.idle, target)
-		}
-	}
-}
-
 // awaitWritten waits up to bodyWriteTimeout for the request body to be written and
 // reports whether it was.
 func (c *conn) awaitWritten() bool {
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -162,59 +162,41 @@
 		l.sendNotLeader()
 		return nil
 	}
+	return l.handleRequest(k, payload)
+}
+
+// handleRequest handles a message while this VM admits requests. The caller holds h.mu.
+func (l *link) handleRequest(k messageKind, payload []byte) error {
+	h := l.host
 	switch k {
 	case kindPing:
 		l.send(kindPong, nil)
 	case kindAdmit:
-		var r AdmitRequest
-		if err := compact.Unmarshal(payload, &r); err != nil {
-			return err
-		}
-		h.admit(&admission{request: r, link: l})
+		return handleMessage(payload, func(r AdmitRequest) { h.admit(&admission{request: r, link: l}) })
 	case kindConfirm:
-		var r ledger.Reserve
-		if err := compact.Unmarshal(payload, &r); err != nil {
-			return err
-		}
-		h.confirm(r, l)
+		return handleMessage(payload, func(r ledger.Reserve) { h.confirm(r, l) })
 	case kindKeep:
-		var r keepRequest
-		if err := compact.Unmarshal(payload, &r); err != nil {
-			return err
-		}
-		h.keep(r, l)
+		return handleMessage(payload, func(r keepRequest) { h.keep(r, l) })
 	case kindDone:
-		var r DoneReport
-		if err := compact.Unmarshal(payload, &r); err != nil {
-			return err
-		}
-		h.done(l.entryHost(), r)
+		return handleMessage(payload, func(r DoneReport) { h.done(l.entryHost(), r) })
 	case kindTargetRates:
-		var rates []TargetRate
-		if err := compact.Unmarshal(payload, &rates); err != nil {
-			return err
-		}
-		h.recordRates(rates)
+		return handleMessage(payload, h.recordRates)
 	case kindLeaving:
-		var targets []catalog.Incarnation
-		if err := compact.Unmarshal(payload, &targets); err != nil {
-			return err
-		}
-		h.recordLeaving(l.entryHost(), targets)
+		return handleMessage(payload, func(targets []catalog.Incarnation) { h.recordLeaving(l.entryHost(), targets) })
 	case kindLosses:
-		var losses []LossReport
-		if err := compact.Unmarshal(payload, &losses); err != nil {
-			return err
-		}
-		h.recordLosses(l.entryHost(), losses)
+		return handleMessage(payload, func(losses []LossReport) { h.recordLosses(l.entryHost(), losses) })
 	case kindOrigins:
-		var origins []streamOrigin
-		if err := compact.Unmarshal(payload, &origins); err != nil {
-			return err
-		}
-		for _, o := range origins {
-			h.dispatcher.LearnOrigin(bootclock.Now(), o.Request, o.Target, o.Origin, o.Left)
-		}
+		return handleMessage(payload, h.recordOrigins)
+	}
+	return nil
+}
+
+// handleMessage decodes the payload of a message and passes it to handle.
+func handleMessage[T any](payload []byte, handle func(T)) error {
+	var message T
+	if err := compact.Unmarshal(payload, &message); err != nil {
+		return err
 	}
+	handle(message)
 	return nil
 }
--- a/server/ledger/origins.go
+++ b/server/ledger/origins.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/server/bootclock"
 )
 
 // originSweepInterval is the time between two removals of expired origins.
@@ -83,3 +84,11 @@
 	}
 	return nil
 }
+
+// recordOrigins applies what an entry repeats about the streams that an earlier leader has
+// granted. The caller holds h.mu.
+func (h *Host) recordOrigins(origins []streamOrigin) {
+	for _, o := range origins {
+		h.dispatcher.LearnOrigin(bootclock.Now(), o.Request, o.Target, o.Origin, o.Left)
+	}
+}
