forward: a request whose targets can't be connected to is passed on before it is refused

What callers saw: 503 no_target from entries whose kept connections lived on while new ones were refused.

Cause: responses on the kept connections tell the entry that it has not lost its links, so it goes on with the targets that the leader grants, until it has tried six. Only an entry that knows of its isolation, or whose leader finds no other target, passed requests on.

After six targets, the last of which could not be connected to, the request is now offered to another entry. Nothing of it has been sent, or it may be repeated, so this adds no run beyond the route's limit; a request that came from another entry is still not passed on again.

Test: forward.TestRequestOfAnEntryThatCannotConnectIsPassedOn (none of its three kinds was served before).

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -280,14 +280,25 @@
 		}
 		x.attempt++
 		x.entry.paths.awaitSurvey(x.ctx)
-		if placements >= maxPlacements || x.timeLeft() <= 0 {
-			x.settle()
-			x.failRequest()
+		if placements < maxPlacements && x.timeLeft() > 0 {
+			continue
+		}
+		if x.cannotConnect() && x.relay() {
 			return
 		}
+		x.settle()
+		x.failRequest()
+		return
 	}
 }
 
+// cannotConnect reports whether the latest target could not be reached, while other entries
+// may be able to.
+func (x *exchange) cannotConnect() bool {
+	outcomes := x.record.outcomes
+	return !x.ignorePaths && x.timeLeft() > 0 && len(outcomes) > 0 && outcomes[len(outcomes)-1].result == dispatch.Unreachable
+}
+
 // failRequest ends a request that no target has run or whose outcome is unknown. The
 // status tells the caller which of the two is the case. If a part of a response has been
 // sent, it aborts the response.
--- a/server/forward/isolation_test.go
+++ b/server/forward/isolation_test.go
@@ -271,13 +271,19 @@
 }
 
 func startSite(t *testing.T, entries int, delay time.Duration) *site {
+	t.Helper()
+	return startSiteWith(t, entries, 3, delay)
+}
+
+// startSiteWith is startSite with a number of targets for each of the two services.
+func startSiteWith(t *testing.T, entries, targetsPerService int, delay time.Duration) *site {
 	t.Helper()
 	s := &site{targets: countingTarget{mu: &sync.Mutex{}, runs: make(map[string]int), delay: delay, left: &atomic.Int64{}, brokenStreams: &atomic.Bool{}}, isolated: make([]atomic.Bool, entries)}
 	var targets []catalog.Target
-	for n := range 6 {
+	for n := range 2 * targetsPerService {
 		server := httptest.NewServer(s.targets)
 		t.Cleanup(server.Close)
-		service := map[bool]string{true: "plain", false: "engine"}[n < 3]
+		service := map[bool]string{true: "plain", false: "engine"}[n < targetsPerService]
 		targets = append(targets, catalog.Target{ID: fmt.Sprint("t", n), Service: service, Address: server.Listener.Addr().String(), Slots: 8, State: catalog.Ready})
 	}
 	s.ledger = newSharedLedger(targets)
@@ -442,6 +448,26 @@
 	}
 }
 
+// TestRequestOfAnEntryThatCannotConnectIsPassedOn guards against a request that is refused after
+// its entry could connect to none of the granted targets, because responses on kept
+// connections hide that the entry has no way to the others.
+func TestRequestOfAnEntryThatCannotConnectIsPassedOn(t *testing.T) {
+	s := startSiteWith(t, 2, 2*maxPlacements, 0)
+	s.networks[0].set(refusingCut)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			s.entries[0].paths.heard("t0")
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for i, kind := range requestKinds {
+		_, served := s.send(t, 0, kind, fmt.Sprint("first ", i))
+		assert.True(t, served, kind)
+	}
+}
+
 // TestLostRelayIsNotRepeated guards against a request that runs twice, or is refused as not
 // run, because the entry that took it is lost.
 func TestLostRelayIsNotRepeated(t *testing.T) {
