--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -220,6 +220,17 @@
 // Isolated reports whether the VM has lost the links to all targets.
 func (t *Tracker) Isolated() bool { return t.isolated }
 
+// AllUnreachable returns the targets that can't be reached, in no particular order.
+func (t *Tracker) AllUnreachable() []string {
+	var ids []string
+	for id := range t.states {
+		if t.Unreachable(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Unreachable reports whether a target can't be reached.
 func (t *Tracker) Unreachable(id string) bool {
 	s := t.states[id]
--- a/server/forward/paths.go
+++ b/server/forward/paths.go
@@ -334,9 +334,10 @@
 	}
 	p.refresh()
 	var ids []string
-	for _, t := range p.view.Targets {
-		if t.Service == service && p.tracker.Unreachable(t.ID) && !p.entry.pool.hasIdle(t.ID) {
-			ids = append(ids, t.ID)
+	for _, id := range p.tracker.AllUnreachable() {
+		t, ok := p.view.Target(id)
+		if ok && t.Service == service && !p.entry.pool.hasIdle(id) {
+			ids = append(ids, id)
 		}
 	}
 	return ids
