quarantine: failures of many targets do not make the system forget a request that ends targets

Cause: a target that fails for another reason makes a suspect of each request that it ran, and an organisation had room for 64 suspects; of those with one crash the oldest is forgotten. On a large site one failure of 15 targets with 12 slots brings more than that, so a request that ended a target between two such failures was forgotten each time and never reached three crashes.

An organisation has room for 512 now, of 4,096 in all. Each complete run looked through all suspects for crashes of its target, which more suspects would make dearer; a count of the recorded crashes of each target spares that unless the target is blamed. Tests: quarantine.TestFailuresOfManyTargetsDoNotHideACrash (fails with 64), quarantine.TestRecordsKnowWhomTheyBlame for the count.

--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -382,6 +382,55 @@
 	assert.Empty(t, m.detector.losses.perOrganisation)
 }
 
+// TestFailuresOfManyTargetsDoNotHideACrash guards against a request that goes on ending targets
+// because many others of its organisation ran at targets that failed meanwhile.
+func TestFailuresOfManyTargetsDoNotHideACrash(t *testing.T) {
+	const requestsAtFailedTargets = 180
+	r := NewRecords()
+	content := Content{"o", 1}
+	at := int64(0)
+	crash := func(c Content, target string) {
+		r.Apply(at, Change{Crash: &Crash{Content: c, Incarnation: catalog.Incarnation{Target: target, StartedUnixMS: 1}, FromUnixMS: 1000 * at, ToUnixMS: 1000*at + 1}})
+	}
+	for n := range Threshold {
+		at++
+		crash(content, fmt.Sprint("t", n))
+		at++
+		for k := range requestsAtFailedTargets {
+			crash(Content{"o", uint64(1000*n + k + 2)}, fmt.Sprint("failed ", n))
+		}
+	}
+	assert.True(t, r.HeldBack(content))
+}
+
+// TestRecordsKnowWhomTheyBlame guards against a crash that is not revoked although its target
+// turns out to be alive, or is looked for although there is none.
+func TestRecordsKnowWhomTheyBlame(t *testing.T) {
+	r := NewRecords()
+	incarnation := func(n int) catalog.Incarnation {
+		return catalog.Incarnation{Target: fmt.Sprint("t", n), StartedUnixMS: 1}
+	}
+	for n := range 2 * maxCrashes {
+		at := int64(n)
+		for fingerprint := range uint64(2) {
+			r.Apply(at, Change{Crash: &Crash{Content: Content{"o", fingerprint}, Incarnation: incarnation(n), FromUnixMS: 1000 * at, ToUnixMS: 1000*at + 1}})
+		}
+	}
+	r = FromList(r.List())
+	const later = 1 << 60
+	last := incarnation(2*maxCrashes - 1)
+	assert.True(t, r.Blames(last, later))
+	assert.False(t, r.Blames(last, 0), "it has ended since")
+	assert.False(t, r.Blames(incarnation(0), later), "the oldest crashes are forgotten")
+	first := Content{"o", 0}
+	r.Apply(0, Change{Clear: &first})
+	assert.True(t, r.Blames(last, later), "another request is blamed for the same target")
+	r.Apply(0, Change{Alive: &last})
+	assert.False(t, r.Blames(last, later))
+	r.Expire(RetentionSeconds + 2*maxCrashes)
+	assert.Empty(t, r.blamed)
+}
+
 // TestLossesOfOthersDoNotHideACrash guards against a request that goes on ending targets
 // because its organisation has lost many other responses just before.
 func TestLossesOfOthersDoNotHideACrash(t *testing.T) {
--- a/coord/quarantine/records.go
+++ b/coord/quarantine/records.go
@@ -34,7 +34,7 @@
 	// maxCrashes bounds the crashes that are recorded for one content.
 	maxCrashes = 8
 	// maxPerOrganisation and maxSuspects bound the suspects.
-	maxPerOrganisation = 64
+	maxPerOrganisation = 512
 	maxSuspects        = 4096
 )
 
@@ -92,13 +92,15 @@
 // Records holds the suspects.
 type Records struct {
 	suspects map[Content]*Suspect
-	// perOrganisation is the number of suspects of each organisation.
+	// perOrganisation is the number of suspects of each organisation, and blamed that of the
+	// recorded crashes of each incarnation.
 	perOrganisation map[string]int
+	blamed          map[catalog.Incarnation]int
 }
 
 // NewRecords returns empty records.
 func NewRecords() *Records {
-	return &Records{suspects: make(map[Content]*Suspect), perOrganisation: make(map[string]int)}
+	return &Records{suspects: make(map[Content]*Suspect), perOrganisation: make(map[string]int), blamed: make(map[catalog.Incarnation]int)}
 }
 
 // Apply executes a committed change at the time nowSeconds in Unix seconds.
@@ -141,14 +143,24 @@
 		return
 	}
 	s.Crashes = append(s.Crashes, c)
+	r.blamed[c.Incarnation]++
 	if len(s.Crashes) > maxCrashes {
+		r.unblame(s.Crashes[0])
 		s.Crashes = s.Crashes[1:]
 	}
 	s.LatestSeconds = nowSeconds
 }
 
+func (r *Records) unblame(c Crash) {
+	r.blamed[c.Incarnation]--
+	if r.blamed[c.Incarnation] == 0 {
+		delete(r.blamed, c.Incarnation)
+	}
+}
+
 // revoke removes the crashes of an incarnation, and the contents that have no other ones.
 func (r *Records) revoke(alive catalog.Incarnation) {
+	delete(r.blamed, alive)
 	for content, s := range r.suspects {
 		s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return c.Incarnation == alive })
 		if len(s.Crashes) == 0 {
@@ -171,9 +183,13 @@
 }
 
 func (r *Records) remove(content Content) {
-	if r.suspects[content] == nil {
+	s := r.suspects[content]
+	if s == nil {
 		return
 	}
+	for _, c := range s.Crashes {
+		r.unblame(c)
+	}
 	delete(r.suspects, content)
 	r.perOrganisation[content.Organisation]--
 	if r.perOrganisation[content.Organisation] == 0 {
@@ -236,6 +252,9 @@
 // Blames reports whether a crash of the incarnation before a time in Unix milliseconds is
 // recorded.
 func (r *Records) Blames(i catalog.Incarnation, beforeUnixMS int64) bool {
+	if r.blamed[i] == 0 {
+		return false
+	}
 	isBlamed := func(c Crash) bool { return c.Incarnation == i && c.ToUnixMS < beforeUnixMS }
 	for _, s := range r.suspects {
 		if slices.ContainsFunc(s.Crashes, isBlamed) {
@@ -263,6 +282,9 @@
 	for _, s := range list {
 		r.suspects[s.Content] = &s
 		r.perOrganisation[s.Organisation]++
+		for _, c := range s.Crashes {
+			r.blamed[c.Incarnation]++
+		}
 	}
 	return r
 }
