ledger: the link between entries and store VMs states that its messages have changed

Since requests name the targets that their VM can't reach, and grants the start of the target's process, messages of the landed release are not decoded any more: an entry and a store VM of different releases would connect, fail at the first request and connect again.

The retention of lost responses, which stood in coord/quarantine and server/ledger, is one constant.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -117,7 +117,7 @@
 	replaced = replaced && successor.StartedUnixMS > i.StartedUnixMS
 	var crashes []Crash
 	for _, l := range list {
-		if now <= l.to+lossRetention && (restarted || replaced && !l.completedAfter) {
+		if now <= l.to+LossRetention && (restarted || replaced && !l.completedAfter) {
 			crashes = append(crashes, d.crash(l, Superseded))
 		}
 	}
@@ -222,7 +222,7 @@
 	}
 	var crashes []Crash
 	for _, l := range d.losses.of(i) {
-		if l.evidence == "" && !l.completedAfter && now <= l.to+lossRetention {
+		if l.evidence == "" && !l.completedAfter && now <= l.to+LossRetention {
 			crashes = append(crashes, d.crash(l, e))
 		}
 	}
@@ -269,7 +269,7 @@
 
 // Sweep forgets the losses whose retention has ended.
 func (d *Detector) Sweep(now time.Duration) {
-	d.losses.expire(now - lossRetention)
+	d.losses.expire(now - LossRetention)
 	for i := range d.checks {
 		if len(d.losses.of(i)) == 0 {
 			delete(d.checks, i)
--- a/coord/quarantine/losses.go
+++ b/coord/quarantine/losses.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// lossRetention is how long after a lost response the end of its target counts as its
+	// LossRetention is how long after a lost response the end of its target counts as its
 	// consequence. A target that has ended is back some seconds later.
-	lossRetention = 20 * time.Second
+	LossRetention = 20 * time.Second
 	// maxLosses and maxLossesPerOrganisation bound the lost responses that are remembered.
 	maxLosses                = 4096
 	maxLossesPerOrganisation = 512
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -315,7 +315,7 @@
 		{"targets that fail long after the loss", func(m *model) {
 			for n := range m.targets {
 				m.lose(content, n, "entry 1")
-				m.now += lossRetention
+				m.now += LossRetention
 				m.restart(n, fmt.Sprint("new ", n))
 			}
 		}},
--- a/server/ledger/losses.go
+++ b/server/ledger/losses.go
@@ -7,12 +7,8 @@
 	"hemlockvale.dev/coord/quarantine"
 )
 
-const (
-	// lossRetention is how long an entry repeats a lost response to new leaders.
-	lossRetention = 20 * time.Second
-	// maxKnownLosses bounds the lost responses that an entry remembers.
-	maxKnownLosses = 1000
-)
+// maxKnownLosses bounds the lost responses that an entry remembers.
+const maxKnownLosses = 1000
 
 // LossReport tells the leader that the response to a request was lost: its connection
 // failed, or the target was silent until the request ended.
@@ -42,7 +38,7 @@
 }
 
 func (k *knownLosses) expire() {
-	k.list = slices.DeleteFunc(k.list, func(l knownLoss) bool { return time.Since(l.reportedAt) > lossRetention })
+	k.list = slices.DeleteFunc(k.list, func(l knownLoss) bool { return time.Since(l.reportedAt) > quarantine.LossRetention })
 }
 
 // reports returns the losses as reports to a new leader.
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -17,7 +17,7 @@
 // Preface is sent first on a connection from an entry to a store VM. The connection
 // carries compact binary messages instead of JSON, because every request of the
 // deployment causes several of them.
-const Preface = "HVL3"
+const Preface = "HVL4"
 
 // BudgetExhausted is the refusal of a turn that the program's budget does not cover.
 const BudgetExhausted dispatch.Refusal = "budget_exhausted"
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -148,7 +148,7 @@
 		known.add(lossOf(n, ""))
 	}
 	assert.Len(t, known.reports(), maxKnownLosses)
-	known.list[0].reportedAt = time.Now().Add(-2 * lossRetention)
+	known.list[0].reportedAt = time.Now().Add(-2 * quarantine.LossRetention)
 	assert.Len(t, known.reports(), maxKnownLosses-1)
 }
 
