forward, registry: entries to relay to are not forgotten while control starts, nor fetched for each request

Two faults in how an entry without links learns of others. - A control VM that has just started named the entries that it had heard of, at first none; the asking entry replaced its list by that and refused its callers. Fetches are now at least 50 ms apart; a request that knows no entry waits for the next one. forward.TestControlIsNotAskedForEachRequest (6 fetches in a row before).

--- a/coord/quarantine/losses.go
+++ b/coord/quarantine/losses.go
@@ -62,7 +62,7 @@
 	from, to time.Duration
 	// completedAfter is set if the target has completed a request that it got later.
 	completedAfter bool
-	// evidence is that of the crash which the loss turned out to be; empty if it did not.
+	// evidence is that of the crash which was recorded for the loss; empty if none was.
 	evidence Evidence
 }
 
--- a/server/forward/peers.go
+++ b/server/forward/peers.go
@@ -14,6 +14,8 @@
 	// peersRetention the age up to which it is used meanwhile.
 	peersValidity  = 500 * time.Millisecond
 	peersRetention = 10 * time.Second
+	// minFetchInterval is the time between the starts of two fetches.
+	minFetchInterval = 50 * time.Millisecond
 	// peersFetchTimeout bounds one fetch.
 	peersFetchTimeout = 2 * time.Second
 )
@@ -22,7 +24,9 @@
 type peers struct {
 	mu        sync.Mutex
 	addresses []string
-	fetchedAt time.Time
+	// triedAt is the start of the latest fetch, and fetchedAt the end of the latest one that
+	// succeeded.
+	triedAt, fetchedAt time.Time
 	// fetched is closed when the fetch in progress ends; nil while there is none.
 	fetched chan struct{}
 }
@@ -31,9 +35,11 @@
 func (p *peers) list(ctx context.Context, fetch func(context.Context) ([]string, error), log *logrus.Entry) []string {
 	p.mu.Lock()
 	age := time.Since(p.fetchedAt)
-	if age >= peersValidity && p.fetched == nil {
+	isWanted := age >= peersValidity || len(p.addresses) == 0
+	if isWanted && p.fetched == nil {
 		p.fetched = make(chan struct{})
-		go p.refresh(fetch, log)
+		delay := minFetchInterval - time.Since(p.triedAt)
+		time.AfterFunc(delay, func() { p.refresh(fetch, log) })
 	}
 	addresses, fetched := p.addresses, p.fetched
 	p.mu.Unlock()
@@ -51,6 +57,9 @@
 
 // refresh fetches the list.
 func (p *peers) refresh(fetch func(context.Context) ([]string, error), log *logrus.Entry) {
+	p.mu.Lock()
+	p.triedAt = time.Now()
+	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), peersFetchTimeout)
 	defer cancel()
 	addresses, err := fetch(ctx)
@@ -66,13 +75,9 @@
 	p.fetched = nil
 }
 
-// remove leaves out an address that did not take a request. The list is fetched again once it
-// is empty.
+// remove leaves out an address that did not take a request, until the list is fetched again.
 func (p *peers) remove(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addresses = slices.DeleteFunc(slices.Clone(p.addresses), func(a string) bool { return a == address })
-	if len(p.addresses) == 0 {
-		p.fetchedAt = time.Time{}
-	}
 }
--- a/server/forward/peers_test.go
+++ b/server/forward/peers_test.go
@@ -22,7 +22,7 @@
 	assert.Equal(t, []string{"a", "b"}, p.list(t.Context(), named, log))
 	assert.Equal(t, 1, fetches)
 
-	p.fetchedAt = time.Now().Add(-2 * peersValidity)
+	p.fetchedAt, p.triedAt = time.Now().Add(-2*peersValidity), time.Time{}
 	silent := make(chan struct{})
 	hanging := func(context.Context) ([]string, error) { <-silent; return nil, errors.New("no response") }
 	start := time.Now()
@@ -39,3 +39,24 @@
 	close(silent)
 	assert.Eventually(t, func() bool { return len(p.list(t.Context(), named, log)) == 2 }, time.Second, time.Millisecond)
 }
+
+// TestControlIsNotAskedForEachRequest guards against an entry that asks control as often as
+// it can because the other entries decline its requests or control refuses.
+func TestControlIsNotAskedForEachRequest(t *testing.T) {
+	p := peers{}
+	log := logrus.NewEntry(&logrus.Logger{Out: io.Discard, Formatter: &logrus.TextFormatter{}, Level: logrus.ErrorLevel})
+	fetches := 0
+	start := time.Now()
+	fetch := func(context.Context) ([]string, error) {
+		fetches++
+		if fetches%2 == 0 {
+			return nil, errors.New("control refuses")
+		}
+		return []string{"a"}, nil
+	}
+	for range 6 {
+		p.list(t.Context(), fetch, log)
+		p.remove("a")
+	}
+	assert.LessOrEqual(t, fetches, 1+int(time.Since(start)/minFetchInterval))
+}
--- a/server/registry/entries.go
+++ b/server/registry/entries.go
@@ -50,12 +50,16 @@
 	return addresses, g.options.AddressLifetime, nil
 }
 
-// handleEntries returns entries that can take the requests of one that can't reach targets.
+// handleEntries returns entries that can take the requests of one that can't reach targets. A
+// control VM that has just started names none: it may not have heard of all of them yet.
 func (g *Registry) handleEntries(_ context.Context, params json.RawMessage) (any, error) {
 	var r EntriesRequest
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, rpc.Errorf("bad_request", "entries: %v", err)
 	}
+	if time.Since(g.started) < listingDelay {
+		return nil, rpc.Errorf("unavailable", "%v", ErrNoEntries)
+	}
 	response := EntriesResponse{Addresses: []string{}}
 	for _, vm := range choosePeers(g.liveVMs("entry"), r.Node, r.DataCentre) {
 		response.Addresses = append(response.Addresses, vm.RPCAddress)
--- a/server/registry/entries_test.go
+++ b/server/registry/entries_test.go
@@ -77,6 +77,17 @@
 	assert.Len(t, chooseEntries(append(withIsolated(entryVMs("a", 5, false), 5), withIsolated(others, 4)...), "a"), 5)
 }
 
+// TestStartingControlNamesNoPeers guards against an entry without links that forgets the
+// entries to relay to, because a control VM has just started and has heard of none.
+func TestStartingControlNamesNoPeers(t *testing.T) {
+	g := &Registry{started: time.Now()}
+	_, err := g.handleEntries(t.Context(), []byte("{}"))
+	assert.Error(t, err)
+	g.started = time.Now().Add(-listingDelay)
+	_, err = g.handleEntries(t.Context(), []byte("{}"))
+	assert.NoError(t, err)
+}
+
 // TestChoosePeers guards against an entry that is named to itself, to be stopped or without
 // links itself, and against a few entries that get the requests of all others.
 func TestChoosePeers(t *testing.T) {
