quarantine: a loss is remembered without a look at all others

A loss that is kept up to a second longer shows nothing by itself: whether its retention has ended is asked again where it counts.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -15,6 +15,8 @@
 	// silent for a second or so.
 	silentChecks = 3
 	silentTime   = 3 * time.Second
+	// sweepInterval is the time between two searches for losses whose retention has ended.
+	sweepInterval = time.Second
 )
 
 // Evidence is what shows that a target has ended.
@@ -75,6 +77,8 @@
 	losses    losses
 	// checks holds the states of the incarnations that were checked after a loss.
 	checks map[catalog.Incarnation]*checkState
+	// sweptAt is the time of the latest search for losses whose retention has ended.
+	sweptAt time.Duration
 }
 
 // NewDetector returns a detector without targets. The detector's clock shows now at the
@@ -267,8 +271,12 @@
 	return due
 }
 
-// Sweep forgets the losses whose retention has ended.
+// Sweep forgets the losses whose retention has ended, at most once in sweepInterval.
 func (d *Detector) Sweep(now time.Duration) {
+	if now < d.sweptAt+sweepInterval {
+		return
+	}
+	d.sweptAt = now
 	d.losses.expire(now - LossRetention)
 	for i := range d.checks {
 		if len(d.losses.of(i)) == 0 {
--- a/coord/quarantine/losses.go
+++ b/coord/quarantine/losses.go
@@ -109,7 +109,8 @@
 
 // drop forgets a loss.
 func (s *losses) drop(l *loss) {
-	s.order = slices.DeleteFunc(s.order, func(other *loss) bool { return other == l })
+	n := slices.Index(s.order, l)
+	s.order = slices.Delete(s.order, n, n+1)
 	s.unlink(l)
 }
 
