--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -31,7 +32,10 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
 		server.Close()
-		assert.NoError(t, relays.Stop(t.Context()))
+		// The context of the test has ended by now.
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.NoError(t, relays.Stop(ctx))
 	})
 	return listener.Addr().String()
 }
