--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -85,7 +85,7 @@
 	s.stores = stores
 }
 
-func startStore(t *testing.T, dir string) *testStore {
+func startStore(t testing.TB, dir string) *testStore {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -117,7 +117,7 @@
 	return s
 }
 
-func startClient(t *testing.T, addresses func() []string) *Client {
+func startClient(t testing.TB, addresses func() []string) *Client {
 	t.Helper()
 	c := NewClient(ClientOptions{Leader: func() string { return "" }, Stores: addresses, Log: discardLogger()})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -252,7 +252,7 @@
 
 // awaitLeader waits until the store admits requests. An election takes as long as the disk
 // needs for a sync.
-func (s *testStore) awaitLeader(t *testing.T) {
+func (s *testStore) awaitLeader(t testing.TB) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		s.host.mu.Lock()
