--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -42,6 +42,7 @@
 	server  *rpc.Server
 	quorum  *quorum.Quorum
 	host    *Host
+	ctx     context.Context
 	stop    context.CancelFunc
 	view    atomic.Pointer[registry.View]
 
@@ -86,6 +87,14 @@
 }
 
 func startStore(t testing.TB, dir string) *testStore {
+	t.Helper()
+	s := openStore(t, dir)
+	go s.host.Run(s.ctx)
+	return s
+}
+
+// openStore starts a store VM whose lease is renewed only by the test.
+func openStore(t testing.TB, dir string) *testStore {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -104,14 +113,14 @@
 	})
 	s.host.Register(s.server)
 	s.quorum.Register(s.server)
-	ctx, cancel := context.WithCancel(context.Background())
+	var cancel context.CancelFunc
+	s.ctx, cancel = context.WithCancel(context.Background())
 	s.stop = sync.OnceFunc(func() {
 		cancel()
 		s.server.Close()
 		s.quorum.Close()
 		pool.Close()
 	})
-	go s.host.Run(ctx)
 	go func() { _ = s.server.Serve(listener) }()
 	t.Cleanup(s.stop)
 	return s
