dispatch: the cost of a decision no longer grows with the queue; a dispatcher can be held

Cause: each admission compared its id with every waiting request and counted all of them, each done report copied the whole queue, each tick looked at all grants and programs. Now waiting requests are indexed by id, counted by binary search, expire by a heap, and the search for capacity ends at the first request that any target may get and none takes. While held, nothing is granted.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"hemlockvale.dev/coord/placement"
@@ -45,9 +44,15 @@
 	// programs holds the programs that have started.
 	programs *programs
 	medians  map[string]*cachedMedian
-	// awaitingToken holds the requests that wait for a rate limit token of their
-	// organisation.
-	awaitingToken []*waitingRequest
+	// waiting holds the requests that have no outcome yet, by id.
+	waiting map[string]*waitingRequest
+	// awaitingToken holds the times at which requests get the rate limit token of their
+	// organisation that they wait for.
+	awaitingToken deadlines
+	// grantExpiries holds the times at which grants without a done report are dropped.
+	grantExpiries deadlines
+	// held is set while nothing may be granted.
+	held bool
 	// candidates is a buffer that is reused between placement decisions.
 	candidates []placement.Candidate
 }
@@ -58,7 +63,7 @@
 	organisation string
 	tokens       int64
 	grantedAt    time.Duration
-	expires      time.Duration
+	expiry       *deadline
 }
 
 // New returns a dispatcher without targets that starts to grant at the time now. The
@@ -82,9 +87,14 @@
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
 		medians:          make(map[string]*cachedMedian),
+		waiting:          make(map[string]*waitingRequest),
 	}
 }
 
+// SetHeld sets whether the dispatcher is held. While it is, it grants nothing: waiting requests
+// stay in their queues until they expire, and Admit must not be called.
+func (d *Dispatcher) SetHeld(held bool) { d.held = held }
+
 // SetTargets replaces the set of known targets. It returns the outcomes of waiting
 // requests that can now be decided.
 func (d *Dispatcher) SetTargets(now time.Duration, ts []Target) []Outcome {
@@ -135,8 +145,8 @@
 	}
 	w := newWaitingRequest(now, r, d.programs.record(now, &r))
 	if tokenAt > now {
-		w.tokenAt = tokenAt
-		d.awaitingToken = append(d.awaitingToken, w)
+		w.due = d.awaitingToken.add(r.ID, tokenAt)
+		d.waiting[r.ID] = w
 		return Outcome{ID: r.ID}
 	}
 	q := d.queue(r.Service)
@@ -151,6 +161,7 @@
 		return Outcome{ID: r.ID, Refusal: Overloaded, RetryAfter: d.withJitter(wait - r.TimeLeft)}
 	}
 	q.add(w)
+	d.waiting[r.ID] = w
 	return Outcome{ID: r.ID}
 }
 
@@ -171,15 +182,8 @@
 		d.release(id, g)
 		return true
 	}
-	hasID := func(w *waitingRequest) bool { return w.request.ID == id }
-	for _, q := range d.queues {
-		if i := slices.IndexFunc(q.waiting, hasID); i >= 0 {
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-			return true
-		}
-	}
-	if i := slices.IndexFunc(d.awaitingToken, hasID); i >= 0 {
-		d.awaitingToken = slices.Delete(d.awaitingToken, i, i+1)
+	if w := d.waiting[id]; w != nil {
+		d.forget(w)
 		return true
 	}
 	return false
@@ -222,6 +226,7 @@
 // release frees the capacity that a grant occupies at its target.
 func (d *Dispatcher) release(id string, g *grant) {
 	delete(d.grants, id)
+	d.grantExpiries.remove(g.expiry)
 	g.target.outstanding--
 	g.target.tokens -= g.tokens
 }
@@ -262,20 +267,23 @@
 // Tick refuses expired requests, drops grants whose done report is overdue, and grants
 // waiting requests to targets with capacity.
 func (d *Dispatcher) Tick(now time.Duration) []Outcome {
-	for id, g := range d.grants {
-		if now > g.expires {
-			d.release(id, g)
+	for {
+		id, due := d.grantExpiries.popDue(now)
+		if !due {
+			break
 		}
+		d.release(id, d.grants[id])
 	}
-	d.awaitingToken = slices.DeleteFunc(d.awaitingToken, func(w *waitingRequest) bool {
-		due := w.tokenAt <= now
-		if due {
-			q := d.queue(w.request.Service)
-			q.assignRank(now, w)
-			q.add(w)
+	for {
+		id, due := d.awaitingToken.popDue(now)
+		if !due {
+			break
 		}
-		return due
-	})
+		w := d.waiting[id]
+		q := d.queue(w.request.Service)
+		q.assignRank(now, w)
+		q.add(w)
+	}
 	d.programs.sweep(now)
 	d.origins.sweep(now)
 	return d.grantAllWaiting(now)
--- a/coord/dispatch/forecast.go
+++ b/coord/dispatch/forecast.go
@@ -100,20 +100,29 @@
 	if ps.isMostUrgent(kind) {
 		usable *= urgentFactor
 	}
-	wait := 0.0
-	for _, horizon := range forecastHorizons {
-		demand := kind.requestsWithin(horizon, kind.requests*turnsOf(r))
-		for p := range ps.byOrganisation[r.Organisation] {
-			if left := p.remaining(now); left > 0 {
-				demand += p.kind.requestsWithin(horizon, left)
-			}
+	var demand [len(forecastHorizons)]float64
+	kind.addDemand(&demand, kind.requests*turnsOf(r))
+	for p := range ps.byOrganisation[r.Organisation] {
+		if left := p.remaining(now); left > 0 {
+			p.kind.addDemand(&demand, left)
 		}
+	}
+	wait := 0.0
+	for i, horizon := range forecastHorizons {
 		available := b.tokens + usable*horizon.Seconds()
-		wait = max(wait, (demand-available)/rate)
+		wait = max(wait, (demand[i]-available)/rate)
 	}
 	return time.Duration(wait * float64(time.Second))
 }
 
+// addDemand adds the requests that a program sends within each of the forecast horizons, if
+// it still sends the given number of them.
+func (k *kindStats) addDemand(demand *[len(forecastHorizons)]float64, remaining float64) {
+	for i, horizon := range forecastHorizons {
+		demand[i] += k.requestsWithin(horizon, remaining)
+	}
+}
+
 // isMostUrgent reports whether the service has less urgent kinds of programs, but none
 // that is more urgent.
 func (ps *programs) isMostUrgent(kind *kindStats) bool {
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -29,7 +29,7 @@
 		w.program.addWait(now, now-w.queuedAt)
 	}
 	d.recordOrigin(w, t)
-	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expires: w.expires + grantGracePeriod}
+	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
 
@@ -42,11 +42,22 @@
 		// The targets that it waited for have left.
 		r.Unreachable = nil
 	}
-	best := d.bestClass(now, r)
+	best := unusable
 	median := d.median(now, r.Service)
 	d.candidates = d.candidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
-		if !r.allows(t) || !r.reaches(t) || t.classFor(now, r) != best || !t.hasCapacity(now, need) {
+		if !r.allows(t) || !r.reaches(t) {
+			continue
+		}
+		class := t.classFor(now, r)
+		if class > best {
+			continue
+		}
+		if class < best {
+			best = class
+			d.candidates = d.candidates[:0]
+		}
+		if !t.hasCapacity(now, need) {
 			continue
 		}
 		c := t.candidate(r)
@@ -57,17 +68,6 @@
 	return placement.Place(d.policy, q, d.candidates, d.random.Uint64())
 }
 
-// bestClass returns the best class of target that the service has for a request.
-func (d *Dispatcher) bestClass(now time.Duration, r *Request) targetClass {
-	best := unusable
-	for _, t := range d.targetsByService[r.Service] {
-		if r.allows(t) && r.reaches(t) {
-			best = min(best, t.classFor(now, r))
-		}
-	}
-	return best
-}
-
 // acceptsRequests reports whether any target of a service accepts requests.
 func (d *Dispatcher) acceptsRequests(service string) bool {
 	return slices.ContainsFunc(d.targetsByService[service], func(t *target) bool { return !t.Draining })
--- a/coord/dispatch/program.go
+++ b/coord/dispatch/program.go
@@ -8,6 +8,8 @@
 	maxWaitShare = 0.2
 	// programRetention is how long a program is remembered after its last request.
 	programRetention = 5 * time.Second
+	// programSweepInterval is the time between two searches for programs that have ended.
+	programSweepInterval = 200 * time.Millisecond
 )
 
 // program is what the dispatcher knows about a started program. A new dispatcher
@@ -46,6 +48,7 @@
 	byKey          map[programKey]*program
 	byOrganisation map[string]map[*program]struct{}
 	kinds          map[programKind]*kindStats
+	sweptAt        time.Duration
 }
 
 func newPrograms() *programs {
@@ -106,6 +109,10 @@
 // sweep learns from programs that have ended, and removes those that have sent no request
 // for programRetention.
 func (ps *programs) sweep(now time.Duration) {
+	if now < ps.sweptAt+programSweepInterval {
+		return
+	}
+	ps.sweptAt = now
 	for key, p := range ps.byKey {
 		p.learn(now)
 		if now <= p.lastRequest+programRetention {
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -47,15 +48,19 @@
 	program  *program
 	status   deadlineStatus
 	queuedAt time.Duration
-	// tokenAt is when the organisation's rate limit token becomes available.
-	tokenAt time.Duration
-	expires time.Duration
-	// rank orders the queue; the lowest rank is granted first.
-	rank time.Duration
+	expires  time.Duration
+	// rank orders the queue; the lowest rank is granted first. Requests of equal rank are
+	// ordered by number.
+	rank   time.Duration
+	number uint64
+	// queue is the queue that holds the request; nil while it waits for a rate limit token.
+	queue *queue
+	// due is the deadline of the request in the queue, or the time of its token.
+	due *deadline
 }
 
 func newWaitingRequest(now time.Duration, r Request, p *program) *waitingRequest {
-	return &waitingRequest{request: r, program: p, status: p.status(now, &r), queuedAt: now, tokenAt: now, expires: now + r.TimeLeft}
+	return &waitingRequest{request: r, program: p, status: p.status(now, &r), queuedAt: now, expires: now + r.TimeLeft}
 }
 
 // delay returns how far the request is put back in the queue. It depends on the
@@ -89,8 +94,13 @@
 
 // queue holds the requests of one service that wait for a target.
 type queue struct {
-	// waiting is ordered by rank.
-	waiting []*waitingRequest
+	// waiting is ordered by rank and number. unpinned is how many of them any target of the
+	// service may get, and lastNumber the latest number.
+	waiting    []*waitingRequest
+	unpinned   int
+	lastNumber uint64
+	// expiries holds the times at which the waiting requests expire.
+	expiries deadlines
 	// completions measures the requests that the service completes, and
 	// onTrackArrivals the arriving requests whose programs are on track.
 	completions, onTrackArrivals meter
@@ -168,32 +178,53 @@
 
 // add inserts a request in order of rank, after those of equal rank.
 func (q *queue) add(w *waitingRequest) {
+	q.lastNumber++
+	w.queue, w.number = q, q.lastNumber
+	w.due = q.expiries.add(w.request.ID, w.expires)
+	q.waiting = slices.Insert(q.waiting, q.position(w), w)
+	if !w.request.pinned() {
+		q.unpinned++
+	}
+}
+
+// remove removes a request from the queue.
+func (q *queue) remove(w *waitingRequest) {
+	at := q.position(w)
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	q.expiries.remove(w.due)
+	w.queue = nil
+	if !w.request.pinned() {
+		q.unpinned--
+	}
+}
+
+// position returns the index at which the queue holds a request, or would hold it.
+func (q *queue) position(w *waitingRequest) int {
 	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *waitingRequest) int {
-		if a.rank <= b.rank {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.number, b.number))
+	})
+	return at
+}
+
+// ahead returns the number of requests that are granted before a new one with the given rank.
+func (q *queue) ahead(rank time.Duration) int {
+	at, _ := slices.BinarySearchFunc(q.waiting, rank, func(a *waitingRequest, rank time.Duration) int {
+		if a.rank <= rank {
 			return -1
 		}
 		return 1
 	})
-	q.waiting = slices.Insert(q.waiting, at, w)
+	return at
 }
 
 // hasUnpinned reports whether a request waits that any target of the service may get.
-// Pinned requests are first in the queue.
-func (q *queue) hasUnpinned() bool {
-	return slices.ContainsFunc(q.waiting, func(w *waitingRequest) bool { return !w.request.pinned() })
-}
+func (q *queue) hasUnpinned() bool { return q.unpinned > 0 }
 
 // expectedWait estimates how long a request would wait. While a backlog persists, a
 // request that is put back also waits for later arrivals that are ranked before it,
 // so it only gets the capacity that those leave.
 func (q *queue) expectedWait(now time.Duration, w *waitingRequest) time.Duration {
-	ahead := 0
-	for _, other := range q.waiting {
-		if other.rank <= w.rank {
-			ahead++
-		}
-	}
-	wait := q.serviceTime(ahead)
+	wait := q.serviceTime(q.ahead(w.rank))
 	if w.status == onTrack || !q.backlogPersists(now) {
 		return wait
 	}
@@ -215,35 +246,70 @@
 func (d *Dispatcher) grantWaiting(now time.Duration, service string) []Outcome {
 	q := d.queue(service)
 	q.updateBacklog(now)
+	out := d.refuseExpired(now, q)
 	if len(q.waiting) == 0 {
-		return nil
+		return out
 	}
-	var out []Outcome
-	rest := q.waiting[:0]
-	blocked := false
-	accepted := d.acceptsRequests(service)
-	for _, w := range q.waiting {
-		if now >= w.expires {
-			d.refund(w.request.Organisation)
-			out = append(out, Outcome{ID: w.request.ID, Refusal: Expired, RetryAfter: d.withJitter(minRetryAfter), Waited: now - w.queuedAt})
-			continue
+	if !d.acceptsRequests(service) {
+		for len(q.waiting) > 0 {
+			out = append(out, d.dropWithoutTarget(now, q.waiting[0]))
 		}
-		if !accepted || w.request.pinned() && !d.hasTarget(&w.request) {
-			d.refund(w.request.Organisation)
-			out = append(out, d.refuseWithoutTarget(now, w))
+		return out
+	}
+	if d.held {
+		return out
+	}
+	for at := 0; at < len(q.waiting); {
+		w := q.waiting[at]
+		pinned := w.request.pinned()
+		if pinned && !d.hasTarget(&w.request) {
+			out = append(out, d.dropWithoutTarget(now, w))
 			continue
 		}
-		if !blocked {
-			if o, ok := d.place(now, w); ok {
-				out = append(out, o)
-				continue
-			}
-			// A pinned request may wait for a target that the others do not need.
-			blocked = !w.request.pinned()
+		o, ok := d.place(now, w)
+		switch {
+		case ok:
+			d.forget(w)
+			out = append(out, o)
+		case pinned:
+			// It may wait for a target that the others do not need.
+			at++
+		default:
+			return out
 		}
-		rest = append(rest, w)
 	}
-	clear(q.waiting[len(rest):])
-	q.waiting = rest
 	return out
 }
+
+// refuseExpired refuses the requests of a queue whose callers' time has run out.
+func (d *Dispatcher) refuseExpired(now time.Duration, q *queue) []Outcome {
+	var out []Outcome
+	for {
+		id, due := q.expiries.popDue(now)
+		if !due {
+			return out
+		}
+		w := d.waiting[id]
+		d.forget(w)
+		d.refund(w.request.Organisation)
+		out = append(out, Outcome{ID: id, Refusal: Expired, RetryAfter: d.withJitter(minRetryAfter), Waited: now - w.queuedAt})
+	}
+}
+
+// dropWithoutTarget removes and refuses a request that waits for targets which have left.
+func (d *Dispatcher) dropWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
+	d.forget(w)
+	d.refund(w.request.Organisation)
+	return d.refuseWithoutTarget(now, w)
+}
+
+// forget removes a waiting request from its queue, or from those that wait for a rate limit
+// token.
+func (d *Dispatcher) forget(w *waitingRequest) {
+	delete(d.waiting, w.request.ID)
+	if w.queue != nil {
+		w.queue.remove(w)
+	} else {
+		d.awaitingToken.remove(w.due)
+	}
+}
--- a/coord/dispatch/target_stats.go
+++ b/coord/dispatch/target_stats.go
@@ -93,6 +93,9 @@
 	if s.failureRate > toleratedFailureRate {
 		penalty += failurePenalty * s.failureRate
 	}
+	if penalty == 0 {
+		return 0
+	}
 	return int64(penalty * s.decay(now))
 }
 
