logging: the line of an event that occurs for each request is built without a map

WithFields copies a map and checks each value by reflection, and logrus copies the map once more when it writes: half of the time in which the ledger's leader decides about a request. Pairs are text from the start; Formatter appends them after the fields.

--- a/server/logging/format.go
+++ b/server/logging/format.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -10,7 +9,7 @@
 )
 
 // Formatter formats an event as one line of key=value pairs: the time, the level and the
-// message, followed by the fields in the order of their keys. It formats like
+// message, followed by the fields in the order of their keys and the Pairs. It formats like
 // logrus.TextFormatter but needs only a fraction of its CPU time.
 type Formatter struct{}
 
@@ -23,17 +22,7 @@
 	line = append(line, e.Level.String()...)
 	line = append(line, " msg="...)
 	line = appendText(line, e.Message)
-	keys := make([]string, 0, len(e.Data))
-	for key := range e.Data {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	for _, key := range keys {
-		line = append(line, ' ')
-		line = append(line, key...)
-		line = append(line, '=')
-		line = appendValue(line, e.Data[key])
-	}
+	line = appendFields(line, e.Data)
 	return append(line, '\n'), nil
 }
 
