ledger: a leader whose lease has lapsed keeps its entries and grants nothing

What callers saw: after a surge nearly every request was refused or timed out, for as long as callers kept coming, though most targets stood idle. Cause: the leader answered any message with not leader while its lease of 250 ms had lapsed, and named itself as the leader. Entries then closed their connections, searched, introduced themselves and sent all pending requests again, which made the next renewal late too: a state that keeps itself up. A renewal had to wait for Host.mu behind up to 255 readers that decide about admissions under it. Now leading and holding a lease are two states. Whoever leads without a lease answers pings, takes done reports and queues admissions until the lease is back; its dispatcher is held, so a tick, a catalog view or a done report grants nothing. Renewing takes no lock. Admissions go through a bounded inbox to one goroutine that decides a few at a time and then yields; those of started programs come first. Entries are told to introduce themselves to each new leadership, also if it is the same VM's or they are idle. Entries ping only when no other message came. A refused request without a reservation is not settled in the log. The admission line is built without maps. TestLeaderWithoutLeaseGrantsNothing and TestLeaderWithoutLeaseKeepsItsEntries failed before and pass. TestSurgeEnds: connections lost 689 to 954 before, 0 now, but only 1,093 of the surge are served (3,456 to 4,072 before): refusing costs the leader as much as serving.

--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -115,6 +115,16 @@
 	return &State{accounts: make(map[Program]*account), turns: history.NewDirectory(), suspects: quarantine.NewRecords()}
 }
 
+// Reserves reports whether a request has reserved tokens that are not settled.
+func (s *State) Reserves(p Program, request string) bool {
+	a := s.accounts[p]
+	if a == nil {
+		return false
+	}
+	_, reserved := a.Reserved[request]
+	return reserved
+}
+
 // Turns returns the directory of kept histories. The caller must not change it.
 func (s *State) Turns() *history.Directory { return s.turns }
 
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -9,6 +9,7 @@
 
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/logging"
 )
 
 // admission is an admission request and its outcome.
@@ -17,6 +18,12 @@
 	link    *link
 	// receivedAt is on the boot clock.
 	receivedAt time.Duration
+	// inboxTime is how long the request waited for the decider.
+	inboxTime time.Duration
+	// starts is set for a request that does not belong to a started program.
+	starts bool
+	// cancelled is set once the caller has disconnected while the request was in the inbox.
+	cancelled bool
 	// response is nil while the request is queued; it was sent at finishedAt.
 	response   *AdmitResponse
 	finishedAt time.Duration
@@ -27,7 +34,6 @@
 // admit decides about a request. A request that is repeated over another connection
 // gets the outcome of the first one. The caller holds h.mu.
 func (h *Host) admit(a *admission) {
-	a.receivedAt = bootclock.Now()
 	r := &a.request
 	if existing := h.admissions[r.ID]; existing != nil && existing.request.Attempt == r.Attempt {
 		existing.link = a.link
@@ -59,7 +65,7 @@
 		// Another entry may have made the reservation before it passed the request on.
 		h.watchReservation(r.Reserve, a.link)
 	}
-	outcome := h.dispatcher.Admit(a.receivedAt, r.Request)
+	outcome := h.dispatcher.Admit(bootclock.Now(), r.Request)
 	if !outcome.Waiting() {
 		h.finish(a, h.response(outcome))
 	}
@@ -76,43 +82,53 @@
 	}
 	a.link.send(kindAdmitResponse, &r)
 	h.countOutcome(r)
+	h.options.Log.WithFields(logrus.Fields{"event": "admission", "request": a.request.ID, "inputs": h.describe(a, &r)}).Info("admission decided")
+}
+
+// describe returns the inputs and the outcome of a decision for its log line.
+func (h *Host) describe(a *admission, r *AdmitResponse) logging.Pairs {
 	load := h.dispatcher.Load(a.request.Service)
-	fields := logrus.Fields{
-		"event": "admission", "request": a.request.ID, "attempt": a.request.Attempt, "organisation": a.request.Organisation, "service": a.request.Service,
-		"priority": a.request.Priority, "left_ms": a.request.TimeLeft.Milliseconds(), "running": load.Running, "waiting": load.Waiting, "slots": load.Slots,
-		"view": h.options.View().Revision, "waited_ms": r.Waited.Milliseconds(),
+	pairs := logging.Pairs(nil).
+		Int("attempt", int64(a.request.Attempt)).Text("organisation", a.request.Organisation).Text("service", a.request.Service).
+		Int("priority", int64(a.request.Priority)).Int("left_ms", a.request.TimeLeft.Milliseconds()).
+		Int("running", int64(load.Running)).Int("waiting", int64(load.Waiting)).Int("slots", int64(load.Slots)).
+		Int("view", int64(h.options.View().Revision)).Int("inbox_ms", a.inboxTime.Milliseconds()).Int("waited_ms", r.Waited.Milliseconds())
+	if r.Target != "" {
+		pairs = pairs.Text("target", r.Target).Text("reason", r.Reason).Int("cached", r.Cached)
+	} else {
+		pairs = pairs.Text("refusal", string(r.Refusal)).Int("retry_after_ms", r.RetryAfter.Milliseconds())
+	}
+	if r.Refusal == Quarantined {
+		pairs = pairs.Text("fingerprint", fingerprintText(a.request.Fingerprint))
 	}
 	if t, ok := h.options.View().Target(r.Target); ok {
-		fields["near"], fields["software"] = t.DataCentre == a.request.DataCentre, t.Software
+		pairs = pairs.Bool("near", t.DataCentre == a.request.DataCentre).Text("software", t.Software)
 	}
 	if r.RateLimit != nil {
-		fields["rate_limit"] = *r.RateLimit
+		pairs = pairs.Float("rate_limit", *r.RateLimit)
 	}
 	if a.request.Continues {
-		fields["resumes"], fields["same_target"] = a.request.Resumes, a.request.Target != ""
-	}
-	if r.Target != "" {
-		fields["target"], fields["reason"], fields["cached"] = r.Target, r.Reason, r.Cached
-	} else {
-		if r.Refusal == Quarantined {
-			fields["fingerprint"] = fingerprintText(a.request.Fingerprint)
-		}
-		fields["refusal"], fields["retry_after_ms"] = string(r.Refusal), r.RetryAfter.Milliseconds()
+		pairs = pairs.Text("resumes", a.request.Resumes).Bool("same_target", a.request.Target != "")
 	}
 	if a.request.Program != "" {
-		fields["program"], fields["program_left_ms"] = a.request.Program, a.request.ProgramTimeLeft.Milliseconds()
-		fields["standing"] = h.dispatcher.DeadlineStatus(bootclock.Now(), &a.request.Request)
+		pairs = pairs.Text("program", a.request.Program).Int("program_left_ms", a.request.ProgramTimeLeft.Milliseconds()).
+			Text("standing", h.dispatcher.DeadlineStatus(bootclock.Now(), &a.request.Request))
 	}
 	if reserve := a.request.Reserve; reserve != nil {
-		fields["budget"], fields["reserve"], fields["charged"] = reserve.Budget, reserve.Tokens, h.options.Machine.charged(reserve.Program)
+		pairs = pairs.Int("budget", reserve.Budget).Int("reserve", reserve.Tokens).Int("charged", h.options.Machine.charged(reserve.Program))
 	}
-	h.options.Log.WithFields(fields).Info("admission decided")
+	return pairs
 }
 
 func (h *Host) countOutcome(r AdmitResponse) {
 	outcome := cmp.Or(string(r.Refusal), "granted")
-	gometrics.GetOrRegisterCounter("ledger_admissions;outcome="+outcome, h.options.Metrics).Inc(1)
-	gometrics.GetOrRegisterTimer("ledger_waited", h.options.Metrics).Update(r.Waited)
+	counter := h.outcomeCounters[outcome]
+	if counter == nil {
+		counter = gometrics.GetOrRegisterCounter("ledger_admissions;outcome="+outcome, h.options.Metrics)
+		h.outcomeCounters[outcome] = counter
+	}
+	counter.Inc(1)
+	h.waitedTimer.Update(r.Waited)
 }
 
 func (h *Host) response(o dispatch.Outcome) AdmitResponse {
@@ -142,7 +158,7 @@
 			h.finish(a, h.response(o))
 		}
 		if o.Target != "" && (heldBack || !waits) {
-			h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), o.ID, o.Target, dispatch.Abandoned, 0))
+			h.deliverOutcomes(h.grants().Done(bootclock.Now(), o.ID, o.Target, dispatch.Abandoned, 0))
 		}
 	}
 }
@@ -163,7 +179,10 @@
 		if r.Result == dispatch.Unreachable {
 			h.startCheck(h.detector.Unreachable(bootclock.Now(), r.Target, entry))
 		}
-		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
+		h.deliverOutcomes(h.grants().Done(bootclock.Now(), r.ID, r.Target, r.Result, r.Units))
+		return
+	}
+	if h.inbox.cancel(r.ID) {
 		return
 	}
 	a := h.admissions[r.ID]
@@ -176,6 +195,6 @@
 	} else if a.response.Target != "" {
 		// The request was granted before the report that its caller has disconnected
 		// arrived.
-		h.deliverOutcomes(h.dispatcher.Done(bootclock.Now(), r.ID, a.response.Target, dispatch.Abandoned, 0))
+		h.deliverOutcomes(h.grants().Done(bootclock.Now(), r.ID, a.response.Target, dispatch.Abandoned, 0))
 	}
 }
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -260,7 +260,7 @@
 	}
 }
 
-// monitor sends pings while requests are pending, and fails the connection if the
+// monitor sends pings while requests are pending and no other messages arrive, and fails the connection if the
 // store VM sends nothing within silenceTimeout.
 func (l *clientLink) monitor() {
 	ticker := time.NewTicker(pingInterval)
@@ -279,14 +279,16 @@
 			l.lastReceived = time.Now()
 		}
 		wasIdle = !pending
-		silent := pending && time.Since(l.lastReceived) > silenceTimeout
+		quiet := time.Since(l.lastReceived)
 		l.removeExpiredConfirmations()
 		l.mu.Unlock()
 		switch {
-		case silent:
+		case !pending || quiet < pingInterval:
+			// A response shows as much as a pong.
+		case quiet > silenceTimeout:
 			l.onFailure(l, errSilenceTimeout)
 			return
-		case pending:
+		default:
 			if err := l.send(kindPing, nil); err != nil {
 				l.onFailure(l, err)
 				return
--- a/server/ledger/histories.go
+++ b/server/ledger/histories.go
@@ -108,16 +108,9 @@
 	}
 }
 
-// leads reports whether this VM may decide now.
-func (h *Host) leads() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.canAdmit()
-}
-
 // restoreCopies has missing copies of histories made, while this VM is the leader.
 func (h *Host) restoreCopies(ctx context.Context) {
-	if h.options.Copier == nil || !h.leads() {
+	if h.options.Copier == nil || !h.canAdmit() {
 		h.copies = copyState{}
 		return
 	}
@@ -287,7 +280,7 @@
 	if err := json.Unmarshal(params, &t); err != nil {
 		return nil, rpc.Errorf("bad_request", "turn: %v", err)
 	}
-	if !h.leads() {
+	if !h.canAdmit() {
 		return nil, rpc.Errorf("not_leader", "%v", errNotLeading)
 	}
 	var response TurnResponse
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -33,11 +34,6 @@
 )
 
 const (
-	// leaseInterval is the time between two renewals of the leader's lease.
-	leaseInterval = 80 * time.Millisecond
-	// leaseDuration must be shorter than the shortest election timeout
-	// (raft.DefaultElectionTimeoutMin).
-	leaseDuration = 250 * time.Millisecond
 	// outcomeRetention is how long outcomes are kept for entries that repeat a
 	// request.
 	outcomeRetention = 3 * time.Second
@@ -78,13 +74,13 @@
 type Host struct {
 	options Options
 	batcher *batcher
+	inbox   *inbox
+	// leadership is the latest one; nil before the first. It is replaced together with
+	// dispatcher.
+	leadership atomic.Pointer[leadership]
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
-	// leaderSince identifies the leadership that dispatcher belongs to.
-	leaderSince time.Time
-	// leaseExpiry is the end of the lease on the boot clock.
-	leaseExpiry time.Duration
 	// admissions holds the latest admission of each request, by request id.
 	admissions map[string]*admission
 	// reservations holds the reservations by request id. proposedTokens is the
@@ -98,13 +94,22 @@
 	detector *quarantine.Detector
 	// checkSlots holds an element for each check of a target in progress.
 	checkSlots chan struct{}
+	// outcomeCounters holds the counters of admissions by outcome, and waitedTimer the times
+	// that they waited for a target.
+	outcomeCounters map[string]gometrics.Counter
+	waitedTimer     gometrics.Timer
+	// links holds the connections whose entries may have introduced themselves.
+	links map[*link]struct{}
 	// parked holds the connections whose first ping waits for a leader.
 	parked []parkedLink
 }
 
 // New returns a host. Run must be called for it to admit requests.
 func New(options Options) *Host {
-	h := &Host{options: options, batcher: newBatcher(options.Quorum, options.Log), checkSlots: make(chan struct{}, maxChecks)}
+	h := &Host{
+		options: options, batcher: newBatcher(options.Quorum, options.Log), inbox: newInbox(), checkSlots: make(chan struct{}, maxChecks),
+		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics), links: make(map[*link]struct{}),
+	}
 	h.reset()
 	return h
 }
@@ -128,40 +133,23 @@
 // Run renews the lease, writes batches and drops expired requests until ctx ends.
 func (h *Host) Run(ctx context.Context) {
 	go h.batcher.run(ctx)
+	go h.runDecider(ctx)
 	go periodic.Every(ctx, tickInterval, h.tick)
 	go periodic.Every(ctx, sweepInterval, h.sweep)
 	go periodic.Every(ctx, copyInterval, func() { h.restoreCopies(ctx) })
 	periodic.Every(ctx, leaseInterval, func() { h.renewLease(ctx) })
 }
 
-// renewLease confirms the leadership with a quorum and extends the lease. A new
-// leadership starts with a new dispatcher.
-func (h *Host) renewLease(ctx context.Context) {
-	leaderSince := h.options.Quorum.LeaderSince()
-	if leaderSince.IsZero() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, leaseDuration)
-	defer cancel()
-	start := bootclock.Now()
-	if err := h.options.Quorum.ReadBarrier(ctx); err != nil {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.leaderSince.Equal(leaderSince) {
-		h.startLeadership(leaderSince)
-	}
-	h.leaseExpiry = start + leaseDuration
-	h.answerParked()
-}
-
-func (h *Host) startLeadership(leaderSince time.Time) {
-	h.leaderSince = leaderSince
+// startLeadership starts a leadership with a lease until the given time of the boot clock. The
+// caller holds h.mu.
+func (h *Host) startLeadership(since time.Time, leaseExpiry time.Duration) {
 	h.dispatcher = dispatch.New(bootclock.Now(), h.options.Seed)
 	h.leaving = h.options.Machine.leavingTargets()
 	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
+	current := &leadership{since: since}
+	current.lease.extend(leaseExpiry)
+	h.leadership.Store(current)
 	h.setTargets()
 	h.options.Log.WithFields(logrus.Fields{"event": "ledger_leading", "programs": h.options.Machine.programs(), "revision": h.options.View().Revision}).Info("this VM is the leader and admits requests")
 }
@@ -187,15 +175,15 @@
 		}
 		targets = append(targets, target)
 	}
-	h.deliverOutcomes(h.dispatcher.SetTargets(bootclock.Now(), targets))
+	h.deliverOutcomes(h.grants().SetTargets(bootclock.Now(), targets))
 	h.setDetectorTargets(view)
 }
 
-// canAdmit reports whether this VM may admit requests now: it must hold a valid lease
-// and a catalog. A leader that has just restarted has no catalog, and so no targets,
-// until the control role has sent one.
-func (h *Host) canAdmit() bool {
-	return h.dispatcher != nil && bootclock.Now() < h.leaseExpiry && h.options.View().Revision > 0
+// grants returns the dispatcher for calls that may grant waiting requests. Without a lease, it
+// grants none. The caller holds h.mu.
+func (h *Host) grants() *dispatch.Dispatcher {
+	h.dispatcher.SetHeld(!h.canAdmit())
+	return h.dispatcher
 }
 
 // recordRates applies what entries report about the rate limits of targets. The caller
@@ -211,7 +199,7 @@
 			changed = h.dispatcher.LimitTarget(now, r.Target, *r.PerSecond)
 		} else {
 			fields["limit"] = "none"
-			outcomes, changed = h.dispatcher.UnlimitTarget(now, r.Target, r.Request)
+			outcomes, changed = h.grants().UnlimitTarget(now, r.Target, r.Request)
 		}
 		if changed {
 			h.options.Log.WithFields(fields).Info("rate limit of a target changed")
@@ -224,8 +212,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answerParked()
+	h.logLease()
+	h.dropLinks()
+	h.inbox.wake()
 	if h.dispatcher != nil {
-		h.deliverOutcomes(h.dispatcher.Tick(bootclock.Now()))
+		h.deliverOutcomes(h.grants().Tick(bootclock.Now()))
 		h.startDueChecks()
 	}
 }
--- a/server/ledger/lease_test.go
+++ b/server/ledger/lease_test.go
@@ -78,6 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := openStore(t, t.TempDir())
 			go s.host.batcher.run(s.ctx)
+			go s.host.runDecider(s.ctx)
 			s.renewUntilLeading(t)
 			c := startClient(t, func() []string { return []string{s.address} })
 			occupy(t, c, 50*time.Millisecond)
@@ -101,6 +102,7 @@
 func TestLeaderWithoutLeaseKeepsItsEntries(t *testing.T) {
 	s := openStore(t, t.TempDir())
 	go s.host.batcher.run(s.ctx)
+	go s.host.runDecider(s.ctx)
 	s.renewUntilLeading(t)
 	c := startClient(t, func() []string { return []string{s.address} })
 	occupy(t, c, 5*time.Second)
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,15 @@
 	conn   net.Conn
 	queue  chan []byte
 	closed chan struct{}
+	// leadership is the one to which the entry has introduced itself; nil before.
+	leadership atomic.Pointer[leadership]
+}
+
+// served reports whether this VM is still the leader to which the entry has introduced itself.
+// The entry has to introduce itself to each new one.
+func (l *link) served() bool {
+	current := l.leadership.Load()
+	return current != nil && current == l.host.leadership.Load() && l.host.leads()
 }
 
 // maxParkTime bounds how long the first ping of a connection waits for a leader. It is
@@ -51,7 +61,8 @@
 	_, leader, self := h.options.Quorum.Leader()
 	h.parked = slices.DeleteFunc(h.parked, func(p parkedLink) bool {
 		switch {
-		case h.canAdmit():
+		case h.leads() && h.options.View().Revision > 0:
+			p.leadership.Store(h.leadership.Load())
 			p.send(kindPong, &welcome{Members: h.options.Quorum.Addresses()})
 		case now < p.until && (self || leader == "" || leader == p.lostLeader):
 			return false
@@ -62,6 +73,29 @@
 	})
 }
 
+func (h *Host) addLink(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.links[l] = struct{}{}
+}
+
+func (h *Host) removeLink(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.links, l)
+}
+
+// dropLinks sends entries that have introduced themselves to an earlier leadership to the
+// current leader, even if they have no request for it. The caller holds h.mu.
+func (h *Host) dropLinks() {
+	for l := range h.links {
+		if l.leadership.Load() != nil && !l.served() {
+			l.sendNotLeader()
+			delete(h.links, l)
+		}
+	}
+}
+
 // entryHost returns the host of the entry.
 func (l *link) entryHost() string {
 	address := l.conn.RemoteAddr().String()
@@ -81,7 +115,9 @@
 func (h *Host) serveLink(netConn net.Conn, r *bufio.Reader) {
 	l := &link{host: h, conn: netConn, queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
 	go l.writeLoop()
+	h.addLink(l)
 	defer func() {
+		h.removeLink(l)
 		close(l.closed)
 		netConn.Close()
 	}()
@@ -145,34 +181,45 @@
 	}
 }
 
+// handle handles a message of the entry. Pings and admissions don't wait for h.mu, which the
+// decider holds.
 func (l *link) handle(k messageKind, payload []byte) error {
 	h := l.host
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if k == kindPing && len(payload) > 0 {
-		var greeting hello
-		if err := compact.Unmarshal(payload, &greeting); err != nil {
-			return err
-		}
-		h.parked = append(h.parked, parkedLink{l, greeting.LostLeader, bootclock.Now() + maxParkTime})
-		h.answerParked()
-		return nil
+		return handleMessage(payload, l.greet)
 	}
-	if !h.canAdmit() {
+	if !l.served() {
 		l.sendNotLeader()
+		if k != kindDone || !h.leads() {
+			return nil
+		}
+		// The settlement in a done report is valid in each leadership.
+	}
+	switch k {
+	case kindPing:
+		l.send(kindPong, nil)
 		return nil
+	case kindAdmit:
+		return handleMessage(payload, func(r AdmitRequest) { h.receive(r, l) })
 	}
-	return l.handleRequest(k, payload)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return l.handleReport(k, payload)
 }
 
-// handleRequest handles a message while this VM admits requests. The caller holds h.mu.
-func (l *link) handleRequest(k messageKind, payload []byte) error {
+// greet answers the first ping of an entry once a leader is known.
+func (l *link) greet(greeting hello) {
+	h := l.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.parked = append(h.parked, parkedLink{l, greeting.LostLeader, bootclock.Now() + maxParkTime})
+	h.answerParked()
+}
+
+// handleReport handles a message that needs no lease. The caller holds h.mu.
+func (l *link) handleReport(k messageKind, payload []byte) error {
 	h := l.host
 	switch k {
-	case kindPing:
-		l.send(kindPong, nil)
-	case kindAdmit:
-		return handleMessage(payload, func(r AdmitRequest) { h.admit(&admission{request: r, link: l}) })
 	case kindConfirm:
 		return handleMessage(payload, func(r ledger.Reserve) { h.confirm(r, l) })
 	case kindKeep:
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -99,6 +99,12 @@
 	return m.state.Charged(p)
 }
 
+func (m *Machine) reserves(p ledger.Program, request string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Reserves(p, request)
+}
+
 func (m *Machine) programs() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/server/ledger/quarantine.go
+++ b/server/ledger/quarantine.go
@@ -211,7 +211,7 @@
 
 // handleQuarantine lists the requests that have ended targets.
 func (h *Host) handleQuarantine(context.Context, json.RawMessage) (any, error) {
-	if !h.leads() {
+	if !h.canAdmit() {
 		return nil, rpc.Errorf("not_leader", "%v", errNotLeading)
 	}
 	response := QuarantineResponse{Suspects: []SuspectRequest{}}
@@ -229,7 +229,7 @@
 	if err := json.Unmarshal(params, &content); err != nil {
 		return nil, rpc.Errorf("bad_request", "content: %v", err)
 	}
-	if !h.leads() {
+	if !h.canAdmit() {
 		return nil, rpc.Errorf("not_leader", "%v", errNotLeading)
 	}
 	outcome := make(chan error, 1)
--- a/server/ledger/reservations.go
+++ b/server/ledger/reservations.go
@@ -36,11 +36,11 @@
 	res := &reservation{Reserve: r, createdAt: bootclock.Now(), waiters: []*link{l}}
 	h.reservations[r.Request] = res
 	h.proposedTokens[r.Program] += r.Tokens
-	leaderSince := h.leaderSince
+	current := h.leadership.Load()
 	h.batcher.add(operation{reserve: &r, onOutcome: func(covered bool, err error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		if h.leaderSince.Equal(leaderSince) {
+		if h.leadership.Load() == current {
 			h.removeProposed(r)
 		}
 		h.resolveReservation(res, covered, err)
@@ -103,9 +103,11 @@
 }
 
 // releaseReservation settles with 0 tokens the reservation of a request that will not
-// run.
+// run, if this leader or an earlier one has made one.
 func (h *Host) releaseReservation(a *admission) {
-	if settle := Settlement(a.request.Reserve, 0); settle != nil {
-		h.batcher.add(operation{settle: settle})
+	r := a.request.Reserve
+	if r == nil || h.reservations[r.Request] == nil && !h.options.Machine.reserves(r.Program, r.Request) {
+		return
 	}
+	h.batcher.add(operation{settle: Settlement(r, 0)})
 }
