overload, ledger: entries refuse for an overloaded leader, by programs

Cause: a refusal costs the leader nearly as much as a grant (reading, decoding, a log line, writing), so with demand of 2.5 times its capacity it did little but refuse. Now it measures how long the oldest admission has waited in the inbox, controls a share of programs to refuse (a PI controller, target 50 ms) and states it with its responses; entries refuse that share themselves, by a hash of the program's id, so that the programs which start also end. Requests known to belong to a started program, further attempts and continued streams are never refused that way. Without further statements the share falls to none within a second. Earlier builds ignore the message.

--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -81,6 +81,7 @@
 		h.releaseReservation(a)
 	}
 	a.link.send(kindAdmitResponse, &r)
+	a.link.reportLoad()
 	h.countOutcome(r)
 	h.options.Log.WithFields(logrus.Fields{"event": "admission", "request": a.request.ID, "inputs": h.describe(a, &r)}).Info("admission decided")
 }
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -109,6 +109,9 @@
 		if l == nil {
 			return AdmitResponse{}, fmt.Errorf("%w: %w", ErrUnavailable, context.DeadlineExceeded)
 		}
+		if l.load.refuses(&r) {
+			return refusedByEntry(&r), nil
+		}
 		r.TimeLeft = timeLimit - time.Since(start)
 		response, err := l.admit(ctx, r)
 		if err == nil {
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -58,6 +58,9 @@
 	onFailure func(*clientLink, error)
 	closed    chan struct{}
 
+	// load is the load of the leader.
+	load leaderLoad
+
 	writeMu sync.Mutex
 
 	mu                sync.Mutex
@@ -180,6 +183,12 @@
 			delete(l.pendingKeeps, outcome.Number)
 			ch <- outcome.State
 		}
+	case kindLoad:
+		var report loadReport
+		if err := compact.Unmarshal(payload, &report); err != nil {
+			return err
+		}
+		l.load.set(report.RefusedShare)
 	case kindNotLeader:
 		var n notLeader
 		if err := compact.Unmarshal(payload, &n); err != nil {
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -25,6 +25,7 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/coord/overload"
 	"hemlockvale.dev/coord/quarantine"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/periodic"
@@ -37,8 +38,8 @@
 	// outcomeRetention is how long outcomes are kept for entries that repeat a
 	// request.
 	outcomeRetention = 3 * time.Second
-	// tickInterval is the time between two checks for expired requests.
-	tickInterval = 20 * time.Millisecond
+	// tickInterval is the time between two checks for expired requests and overload.
+	tickInterval = overload.UpdateInterval
 	// sweepInterval is the time between two removals of expired outcomes.
 	sweepInterval = 500 * time.Millisecond
 	// removeTimeout bounds the removal of a replica.
@@ -98,6 +99,9 @@
 	// that they waited for a target.
 	outcomeCounters map[string]gometrics.Counter
 	waitedTimer     gometrics.Timer
+	// overload controls refusedShare, the share of programs whose requests entries refuse.
+	overload     overload.Controller
+	refusedShare float64
 	// links holds the connections whose entries may have introduced themselves.
 	links map[*link]struct{}
 	// parked holds the connections whose first ping waits for a leader.
@@ -213,6 +217,7 @@
 	defer h.mu.Unlock()
 	h.answerParked()
 	h.logLease()
+	h.updateLoad()
 	h.dropLinks()
 	h.inbox.wake()
 	if h.dispatcher != nil {
--- a/server/ledger/inbox.go
+++ b/server/ledger/inbox.go
@@ -129,6 +129,19 @@
 	return true
 }
 
+// delay returns how long the oldest queued admission has waited; 0 if there is none.
+func (b *inbox) delay(now time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delay := time.Duration(0)
+	for _, queue := range []*ring[*admission]{&b.started, &b.starting} {
+		if queue.used > 0 {
+			delay = max(delay, now-queue.items[queue.first].receivedAt)
+		}
+	}
+	return delay
+}
+
 // len returns the number of queued admissions.
 func (b *inbox) len() int {
 	b.mu.Lock()
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -32,6 +32,9 @@
 	closed chan struct{}
 	// leadership is the one to which the entry has introduced itself; nil before.
 	leadership atomic.Pointer[leadership]
+	// statedShare and statedAt describe the latest load report to the entry.
+	statedShare float64
+	statedAt    time.Duration
 }
 
 // served reports whether this VM is still the leader to which the entry has introduced itself.
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -57,6 +57,8 @@
 	kindLeaving
 	// kindLosses reports lost responses, and repeats them to a new leader.
 	kindLosses
+	// kindLoad tells an entry that the leader is overloaded. Earlier releases ignore it.
+	kindLoad
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
