catalog: a target that can't be used is refused, and skipped where it is already recorded

Reported by others: one odd entry among those of the workers ended the machines that read the list, or stopped them from following it. Here, announcements with ports out of range, any number of slots, or starts far in the future were recorded; the latter replaced sound targets at the same address. Deep nesting and numbers that no field holds were refused before.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -227,7 +227,7 @@
 	}
 	slices.SortFunc(gone, func(a, b Target) int {
 		if a.StartedUnixMS != b.StartedUnixMS {
-			return int(a.StartedUnixMS - b.StartedUnixMS)
+			return cmp.Compare(a.StartedUnixMS, b.StartedUnixMS)
 		}
 		if a.ID < b.ID {
 			return -1
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
@@ -330,6 +331,9 @@
 	if transfer.Revision <= old.Revision {
 		return
 	}
+	transfer.Targets = catalog.ValidTargets(transfer.Targets, func(t catalog.Target, err error) {
+		f.options.Log.WithFields(logrus.Fields{"event": "target_skipped", "target": t.ID, "revision": transfer.Revision}).WithError(err).Warn("the catalog has a target that can't be used")
+	})
 	next, err := old.apply(transfer)
 	if err != nil {
 		f.options.Log.WithFields(logrus.Fields{"event": "change_rejected", "revision": transfer.Revision, "previous": old.Revision, "source": source}).WithError(err).Error("configuration change does not apply; requesting the complete configuration")
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -152,9 +152,15 @@
 	return g.commit(ctx, catalog.Command{PutConfiguration: &catalog.PutConfiguration{Configuration: c, Document: document}})
 }
 
+// ErrInvalidTarget reports an announcement that describes no target that could be used.
+var ErrInvalidTarget = errors.New("announcement is invalid")
+
 // Announce records the announcement of a target. It returns when the change is
-// committed, or at once if nothing has changed.
+// committed, at once if nothing has changed, or ErrInvalidTarget.
 func (g *Registry) Announce(ctx context.Context, t catalog.Target) error {
+	if err := t.Validate(); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidTarget, err)
+	}
 	wouldChange := false
 	g.options.Machine.read(func(s *catalog.State) { wouldChange = s.WouldChange(t) })
 	if !wouldChange {
