ledger: idle entries keep their connection to the leader

The store VM closes a connection on which it reads nothing for 2 s, and the entry, which keeps in touch to tell the next leader what it knows, makes another one at once: an idle entry reconnected every 2 s, at 2,500 entries up to 1,250 times a second. Idle entries now send a ping a second.

--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -22,6 +22,10 @@
 	// silenceTimeout is the time without a message from the store VM, while requests
 	// are pending, after which the connection is closed.
 	silenceTimeout = 400 * time.Millisecond
+	// idlePingInterval and idleSilenceTimeout are the same while no request is pending. The
+	// store VM closes a connection on which it receives nothing for rpc.SilenceTimeout.
+	idlePingInterval   = time.Second
+	idleSilenceTimeout = 2 * time.Second
 	// confirmationRetention is how long the outcome of a reservation is kept for a call
 	// of confirm.
 	confirmationRetention = 10 * time.Second
@@ -269,8 +273,8 @@
 	}
 }
 
-// monitor sends pings while requests are pending and no other messages arrive, and fails the connection if the
-// store VM sends nothing within silenceTimeout.
+// monitor sends pings while no other messages arrive, rarely if no request is pending, and
+// fails the connection if the store VM remains silent.
 func (l *clientLink) monitor() {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -291,10 +295,14 @@
 		quiet := time.Since(l.lastReceived)
 		l.removeExpiredConfirmations()
 		l.mu.Unlock()
+		interval, timeout := idlePingInterval, idleSilenceTimeout
+		if pending {
+			interval, timeout = pingInterval, silenceTimeout
+		}
 		switch {
-		case !pending || quiet < pingInterval:
+		case quiet < interval:
 			// A response shows as much as a pong.
-		case quiet > silenceTimeout:
+		case quiet > timeout:
 			l.onFailure(l, errSilenceTimeout)
 			return
 		default:
--- a/server/ledger/inbox_test.go
+++ b/server/ledger/inbox_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/rpc"
 )
 
 func queuedAdmission(id string, starts bool) *admission {
@@ -108,5 +109,19 @@
 		again.Reserve = nil
 		response, err := other.Admit(t.Context(), again)
 		return err == nil && response.Refusal == ""
-	}, 3*time.Second, 20*time.Millisecond)
+	}, 500*time.Millisecond, 20*time.Millisecond)
+}
+
+// TestIdleConnectionIsKept guards against idle entries that lose their connection every few
+// seconds, and then load the leader with new ones.
+func TestIdleConnectionIsKept(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	_, err := c.Admit(t.Context(), turnRequest("first", 1000, 10))
+	require.NoError(t, err)
+	l := c.connect(t.Context())
+	time.Sleep(rpc.SilenceTimeout + idlePingInterval)
+	assert.NoError(t, l.closeReason())
+	assert.Same(t, l, c.connect(t.Context()))
 }
