forward, node: a stopping entry refuses what it can't end, and answers what is left at the end of its grace

Reported by others: requests that came late in the grace of a planned stop were taken, sent on and cut without an answer at its end, among them ones that may not be repeated. It could happen here: while a connection from before the stop stays open, new ones are accepted up to the deadline, with their whole time. Now a request whose time ends after the stop's deadline gets 503 and a closed connection before anything is sent, if it may not be repeated or if no address list names the entry any more; other repeatable ones get the time that is left. What is still in progress at the deadline ends with the status that its state allows (502 where a target may have run it), 300 ms before connections are closed.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -106,8 +106,9 @@
 	// Peers returns the RPC addresses of entries that can reach targets; nil if requests are
 	// never relayed.
 	Peers func(ctx context.Context) ([]string, error)
-	// Stopping reports whether a planned stop has begun; nil if there is none.
-	Stopping func() bool
+	// Stop returns the planned stop that has begun; nil if there is none. The function may be
+	// nil.
+	Stop func() *Stop
 	// OnIsolation is called, in order, when this VM has lost the links to all targets, and when
 	// it has them back. It must not block; it may be nil.
 	OnIsolation func(isolated bool)
@@ -125,6 +126,9 @@
 	peers   peers
 	leaving leavingTargets
 	active  atomic.Int64
+	// ending ends when requests in progress must end; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// relayed counts the requests in progress that other entries have passed on, and offers
 	// those that this one has offered to others so far.
 	relayed, offers atomic.Int64
@@ -134,6 +138,7 @@
 func New(options Options) *Entry {
 	e := &Entry{options: options, pool: newConnPool(options.Connect)}
 	e.paths = newPaths(e)
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	gometrics.NewRegisteredFunctionalGauge("forward_active", options.Metrics, e.active.Load)
 	gometrics.NewRegisteredFunctionalGauge("forward_connections_opened", options.Metrics, e.pool.opened.Load)
 	return e
@@ -223,6 +228,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeLeft())
 	defer cancel()
+	defer context.AfterFunc(e.ending, cancel)()
 	x.ctx = ctx
 	x.run()
 }
--- a/server/forward/prepare.go
+++ b/server/forward/prepare.go
@@ -40,6 +40,10 @@
 		left = defaultTimeLeft
 	}
 	x.deadline = x.startedAt + min(left, x.route.Timeout())
+	if !x.endsBeforeStop() {
+		x.writer.Header().Set("Connection", "close")
+		return x.respondError(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
+	}
 	x.service = table.Service(x.route.ChooseService(x.serviceShare()))
 	if x.service == nil {
 		return x.respondError(http.StatusServiceUnavailable, "no_service", unavailableRetryAfter)
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -42,7 +42,7 @@
 	switch {
 	case view.Table == nil || view.Table.Version() < o.Version:
 		return errNotReady
-	case e.options.Stopping != nil && e.options.Stopping():
+	case e.stop() != nil:
 		return errStopping
 	case e.paths.isolated():
 		return errNoLinks
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/forward"
 	"hemlockvale.dev/server/graceful"
 	"hemlockvale.dev/server/history"
@@ -33,6 +34,9 @@
 	// stopMargin is the part of the grace period that is left for ending the process
 	// once callers have been served.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the time between the end of the requests in progress and that of their
+	// connections.
+	answerMargin = 300 * time.Millisecond
 	// storePollInterval is the time between two checks of the members and the leader of
 	// the store group.
 	storePollInterval = 20 * time.Millisecond
@@ -201,14 +205,16 @@
 
 // runEntry runs the entry role, which admits and forwards the requests of callers.
 func (p *process) runEntry(ctx context.Context) error {
-	var draining, isolated atomic.Bool
+	var isolated atomic.Bool
+	var stopping atomic.Pointer[forward.Stop]
+	draining := func() bool { return stopping.Load() != nil }
 	taskCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	follower := registry.NewFollower(registry.FollowerOptions{
 		Pool: p.pool, Seeds: p.seeds, Log: p.Log,
 		Self: func() registry.VM {
 			vm := p.describeVM()
-			vm.Draining, vm.Isolated = draining.Load(), isolated.Load()
+			vm.Draining, vm.Isolated = draining(), isolated.Load()
 			return vm
 		},
 	})
@@ -218,7 +224,7 @@
 	e := forward.New(forward.Options{
 		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
 		HistoryStores: follower.HistoryStores, HistoryCopies: p.historyCopies(), HeaderCodec: p.Adapter.HeaderCodec(),
-		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stopping: draining.Load,
+		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stop: stopping.Load,
 		OnIsolation: func(lost bool) {
 			isolated.Store(lost)
 			go follower.Report(taskCtx)
@@ -233,24 +239,32 @@
 	if err != nil {
 		return err
 	}
-	ready := func() bool { return !draining.Load() && follower.View().Table != nil }
+	ready := func() bool { return !draining() && follower.View().Table != nil }
 	if _, err := p.serve("callers.ready_address", p.Settings.Callers.ReadyAddress, p.Adapter.Ready(ready)); err != nil {
 		return err
 	}
 	failure := p.wait(ctx)
-	draining.Store(true)
+	planned := planStop(bootclock.Now(), p.Settings.Callers)
+	stopping.Store(planned)
 	p.Log.WithFields(logrus.Fields{"event": "stopping", "active": e.Active()}).Info("planned stop started")
+	time.AfterFunc(planned.Deadline-bootclock.Now(), e.EndRequests)
 	follower.Report(taskCtx)
-	return errors.Join(failure, p.drain(e, callers, relays, p.Settings.Callers))
+	return errors.Join(failure, p.drain(e, callers, relays, planned))
+}
+
+// planStop returns the times of a planned stop that begins now. Callers have a reason to use
+// this entry until no address list that names it is in use.
+func planStop(now time.Duration, c settings.Callers) *forward.Stop {
+	listed := min(addressListLifetimes*c.AddressLifetime()+directoryDelay, c.StopGrace()/2)
+	return &forward.Stop{Unlisted: now + listed, Deadline: now + c.StopGrace() - stopMargin - answerMargin}
 }
 
 // drain serves callers until no address list that names this entry is in use, and then
 // closes connections as they become idle, up to the end of the grace period. The requests of
 // other entries end in the same time.
-func (p *process) drain(e *forward.Entry, callers *graceful.Conns, relays *relay.Server, c settings.Callers) error {
-	deadline := time.Now().Add(c.StopGrace() - stopMargin)
-	time.Sleep(min(addressListLifetimes*c.AddressLifetime()+directoryDelay, c.StopGrace()/2))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+func (p *process) drain(e *forward.Entry, callers *graceful.Conns, relays *relay.Server, stop *forward.Stop) error {
+	time.Sleep(stop.Unlisted - bootclock.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), stop.Deadline+answerMargin-bootclock.Now())
 	defer cancel()
 	relaysErr := make(chan error, 1)
 	go func() { relaysErr <- relays.Stop(ctx) }()
