registry: a store VM that restarts without control knows the targets

It now keeps a copy of the catalog in its data directory, written at most once a second, and uses it when control has not answered within 1 s. Anything that control sends replaces it, whatever its revision; the configuration never returns to an earlier version. A torn file is ignored with a line.

--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -116,6 +116,7 @@
 		},
 	})
 	go follower.Run(taskCtx)
+	go follower.KeepStored(taskCtx, filepath.Join(p.Settings.Formation.DataDir, "catalog"))
 	machine := ledger.NewMachine()
 	q, err := p.startQuorum(ctx, machine, p.initialStores(ctx, follower))
 	if err != nil {
