--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -56,6 +57,7 @@
 // clientLink is the entry's side of a connection to the ledger's leader.
 type clientLink struct {
 	address string
+	form    linkForm
 	// members are the store VMs that hold a replica of the ledger.
 	members   []string
 	conn      net.Conn
@@ -83,13 +85,13 @@
 // dialLink connects to a store VM and returns once the VM has confirmed that it is
 // the leader. lostLeader is the address of a leader that this entry cannot reach, or empty.
 // dialLink calls onFailure when the connection fails later.
-func dialLink(address, lostLeader string, onFailure func(*clientLink, error)) (*clientLink, error) {
+func dialLink(address string, form linkForm, lostLeader string, onFailure func(*clientLink, error)) (*clientLink, error) {
 	conn, err := net.DialTimeout("tcp", address, linkDialTimeout)
 	if err != nil {
 		return nil, err
 	}
 	l := &clientLink{
-		address: address, conn: conn, onFailure: onFailure, closed: make(chan struct{}),
+		address: address, form: form, conn: conn, onFailure: onFailure, closed: make(chan struct{}),
 		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), confirmations: make(map[string]*confirmation), pendingKeeps: make(map[uint64]chan keepState), lastReceived: time.Now(),
 	}
 	r := bufio.NewReader(conn)
@@ -104,7 +106,7 @@
 
 // handshake asks the store VM whether it is the leader.
 func (l *clientLink) handshake(r *bufio.Reader, lostLeader string) error {
-	if _, err := io.WriteString(l.conn, Preface); err != nil {
+	if _, err := io.WriteString(l.conn, l.form.preface()); err != nil {
 		return err
 	}
 	if err := l.send(kindPing, &hello{LostLeader: lostLeader}); err != nil {
@@ -115,7 +117,7 @@
 	}
 	k, payload, err := decode(r)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errHandshake, err)
 	}
 	if err := l.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
@@ -124,6 +126,9 @@
 		var greeting welcome
 		err := compact.Unmarshal(payload, &greeting)
 		l.members = greeting.Members
+		if err == nil && l.form == earlierForm {
+			err = l.send(kindNewRelease, nil)
+		}
 		return err
 	}
 	return l.handle(k, payload)
@@ -131,7 +136,7 @@
 
 // send writes one message.
 func (l *clientLink) send(k messageKind, value any) error {
-	message, err := encode(k, value)
+	message, err := l.form.encode(k, value)
 	if err != nil {
 		return err
 	}
@@ -147,6 +152,9 @@
 func (l *clientLink) readLoop(r *bufio.Reader) {
 	for {
 		k, payload, err := decode(r)
+		if err == nil {
+			payload, err = l.form.decoded(k, payload)
+		}
 		if err == nil {
 			err = l.handle(k, payload)
 		}
--- a/server/ledger/failover_test.go
+++ b/server/ledger/failover_test.go
@@ -91,7 +91,7 @@
 	s := startStore(t, t.TempDir())
 	for range 20 {
 		start := time.Now()
-		l, err := dialLink(s.address, "", func(*clientLink, error) {})
+		l, err := dialLink(s.address, currentForm, "", func(*clientLink, error) {})
 		assert.Less(t, time.Since(start), silenceTimeout)
 		if err == nil {
 			assert.Equal(t, []string{s.address}, l.members)
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -14,7 +14,9 @@
 package ledger
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,7 +129,9 @@
 
 // Register registers the connection handler and the RPC methods with the server.
 func (h *Host) Register(s *rpc.Server) {
-	s.HandleConn(Preface, h.serveLink)
+	for _, form := range []linkForm{currentForm, earlierForm} {
+		s.HandleConn(form.preface(), func(c net.Conn, r *bufio.Reader) { h.serveLink(form, c, r) })
+	}
 	s.Handle(registry.MethodRemoveVoter, h.handleRemoveVoter)
 	s.Handle(MethodTurn, h.handleTurn)
 	s.Handle(MethodQuarantine, h.handleQuarantine)
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -27,6 +27,7 @@
 // link is the store VM's side of a connection from an entry.
 type link struct {
 	host   *Host
+	form   linkForm
 	conn   net.Conn
 	queue  chan []byte
 	closed chan struct{}
@@ -115,8 +116,8 @@
 }
 
 // serveLink handles the messages of an entry until the connection closes.
-func (h *Host) serveLink(netConn net.Conn, r *bufio.Reader) {
-	l := &link{host: h, conn: netConn, queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
+func (h *Host) serveLink(form linkForm, netConn net.Conn, r *bufio.Reader) {
+	l := &link{host: h, form: form, conn: netConn, queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
 	go l.writeLoop()
 	h.addLink(l)
 	defer func() {
@@ -129,7 +130,11 @@
 		if err != nil {
 			return
 		}
-		if err := l.handle(k, payload); err != nil {
+		payload, err = l.form.decoded(k, payload)
+		if err == nil {
+			err = l.handle(k, payload)
+		}
+		if err != nil {
 			h.options.Log.WithFields(logrus.Fields{"event": "link_message_rejected", "from": netConn.RemoteAddr().String()}).WithError(err).Warn("cannot decode a message from an entry")
 			return
 		}
@@ -172,7 +177,7 @@
 // send queues a message. It never blocks: if the queue is full, the connection is
 // closed.
 func (l *link) send(k messageKind, value any) {
-	message, err := encode(k, value)
+	message, err := l.form.encode(k, value)
 	if err != nil {
 		l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
 		return
@@ -202,6 +207,8 @@
 	case kindPing:
 		l.send(kindPong, nil)
 		return nil
+	case kindNewRelease:
+		return l.conn.Close()
 	case kindAdmit:
 		return handleMessage(payload, func(r AdmitRequest) { h.receive(r, l) })
 	}
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -55,6 +55,15 @@
 	RetiredStorages []string
 }
 
+// encodeCommand encodes a command in the form of the earliest release that can execute it,
+// because store VMs of both releases apply the same log during an upgrade.
+func encodeCommand(c ledger.Command) ([]byte, error) {
+	if len(c.Quarantine) > 0 || len(c.Leaving) > 0 {
+		return compact.Marshal(c)
+	}
+	return compact.Marshal(historyCommand{UnixSeconds: c.UnixSeconds, Reserves: c.Reserves, Settles: c.Settles, Keeps: c.Keeps, RetiredStorages: c.RetiredStorages})
+}
+
 // decodeCommand decodes a command of this or of an earlier release.
 func decodeCommand(data []byte) (ledger.Command, error) {
 	var c ledger.Command
@@ -259,7 +268,7 @@
 }
 
 func (b *batcher) commit(ctx context.Context, c ledger.Command) (ledger.Result, error) {
-	data, err := compact.Marshal(c)
+	data, err := encodeCommand(c)
 	if err != nil {
 		return ledger.Result{}, fmt.Errorf("encode batch: %w", err)
 	}
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -59,6 +59,10 @@
 	kindLosses
 	// kindLoad tells an entry that the leader is overloaded. Earlier releases ignore it.
 	kindLoad
+	// kindNewRelease tells a store VM that the entry, which has connected in the form of an
+	// earlier release, knows the current one. Earlier releases ignore it; others close the
+	// connection.
+	kindNewRelease
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -225,9 +229,14 @@
 			return nil, fmt.Errorf("encode message %d: %w", k, err)
 		}
 	}
+	return frame(k, payload), nil
+}
+
+// frame returns a message with an encoded value.
+func frame(k messageKind, payload []byte) []byte {
 	message := binary.AppendUvarint(make([]byte, 0, len(payload)+binary.MaxVarintLen32+1), uint64(len(payload)+1))
 	message = append(message, byte(k))
-	return append(message, payload...), nil
+	return append(message, payload...)
 }
 
 // decode reads one message and returns its kind and payload.
--- a/server/ledger/search.go
+++ b/server/ledger/search.go
@@ -80,7 +80,9 @@
 		tried[address] = true
 		pending++
 		go func() {
-			l, err := dialLink(address, lostLeader, c.connectionFailed)
+			form := c.formFor(address)
+			l, err := dialLink(address, form, lostLeader, c.connectionFailed)
+			c.noteForm(address, form, err)
 			results <- dialResult{address, l, err}
 		}()
 	}
