overload: a short burst is served

Now nothing is refused until the delay has exceeded the target for 100 ms. TestShortBurstIsServed failed before.

--- a/coord/overload/overload.go
+++ b/coord/overload/overload.go
@@ -19,6 +19,8 @@
 	// exceeds targetDelay, and for each second by which it has grown.
 	delayGain = 0.25
 	trendGain = 2.5
+	// burstTime is how long the delay may exceed targetDelay before anything is refused.
+	burstTime = 100 * time.Millisecond
 	// idleDecay is the factor by which the share falls with each update without delay.
 	idleDecay = 0.97
 	// minShare is the share below which nothing is refused.
@@ -30,23 +32,39 @@
 type Controller struct {
 	share     float64
 	lastDelay time.Duration
+	// late is how long the delay has exceeded targetDelay while nothing is refused.
+	late time.Duration
 }
 
 // Update records the current delay of the server and returns the share of programs to
 // refuse, between 0 and 1. It must be called every UpdateInterval.
 func (c *Controller) Update(delay time.Duration) float64 {
+	if c.share == 0 && !c.burstEnds(delay) {
+		c.lastDelay = delay
+		return 0
+	}
 	change := delayGain*(delay-targetDelay).Seconds() + trendGain*(delay-c.lastDelay).Seconds()
 	c.lastDelay = delay
 	c.share = min(max(c.share+change, 0), 1)
 	if delay == 0 {
 		c.share *= idleDecay
 	}
-	if c.share < minShare {
-		return 0
+	if c.share < minShare && delay < targetDelay {
+		c.share = 0
 	}
 	return c.share
 }
 
+// burstEnds reports whether the delay has exceeded targetDelay for burstTime.
+func (c *Controller) burstEnds(delay time.Duration) bool {
+	if delay <= targetDelay {
+		c.late = 0
+		return false
+	}
+	c.late += UpdateInterval
+	return c.late > burstTime
+}
+
 // Refuses reports whether a program belongs to the given share of programs.
 func Refuses(share float64, program string) bool {
 	const buckets = 1 << 16
--- a/coord/overload/overload_test.go
+++ b/coord/overload/overload_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// TestShortBurstIsServed guards against requests that are refused although the server catches
+// up by itself.
+func TestShortBurstIsServed(t *testing.T) {
+	var c Controller
+	for range 3 {
+		for _, delay := range []time.Duration{40, 80, 120, 60, 20, 0} {
+			assert.Zero(t, c.Update(delay*time.Millisecond))
+		}
+	}
+}
+
 // TestRefusesTheStatedShare guards against programs that are refused at random for each
 // request, and against a share that differs from the stated one.
 func TestRefusesTheStatedShare(t *testing.T) {
