ledger, overload: waiting for the lease is not overload

Requests that start a program were refused after 300 ms in the inbox also when they had waited for the lease, and the delay of a lapse raised the share that entries refuse. Both now count only the time in which the leader could decide. A leadership starts without a share. canAdmit requires that this VM still leads. TestLapsedLeaseRefusesNothing and TestPauseIsNoOverload failed before or need the new method.

--- a/coord/overload/overload.go
+++ b/coord/overload/overload.go
@@ -55,6 +55,10 @@
 	return c.share
 }
 
+// Pause records the delay of a server that may not work at the moment. It changes no share: the
+// delay is not due to too much work.
+func (c *Controller) Pause(delay time.Duration) { c.lastDelay, c.late = delay, 0 }
+
 // burstEnds reports whether the delay has exceeded targetDelay for burstTime.
 func (c *Controller) burstEnds(delay time.Duration) bool {
 	if delay <= targetDelay {
--- a/coord/overload/overload_test.go
+++ b/coord/overload/overload_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// TestPauseIsNoOverload guards against requests that are refused because the server could not
+// work for a while, although it catches up quickly.
+func TestPauseIsNoOverload(t *testing.T) {
+	var c Controller
+	for delay := range 25 {
+		c.Pause(time.Duration(delay) * UpdateInterval)
+	}
+	for _, delay := range []time.Duration{400, 250, 100, 40, 0} {
+		assert.Zero(t, c.Update(delay*time.Millisecond))
+	}
+}
+
 // TestRefusesTheStatedShare guards against programs that are refused at random for each
 // request, and against a share that differs from the stated one.
 func TestRefusesTheStatedShare(t *testing.T) {
--- a/server/ledger/decider.go
+++ b/server/ledger/decider.go
@@ -80,6 +80,16 @@
 	return true
 }
 
+// behind returns how long an admission has waited because the decider was busy, and not because
+// the lease had lapsed.
+func (h *Host) behind(a *admission) time.Duration {
+	from := a.receivedAt
+	if current := h.leadership.Load(); current != nil {
+		from = max(from, time.Duration(current.validFrom.Load()))
+	}
+	return bootclock.Now() - from
+}
+
 // decide admits or refuses a request that was queued. The caller holds h.mu.
 func (h *Host) decide(a *admission) {
 	r := &a.request
@@ -91,7 +101,7 @@
 		a.link.sendNotLeader()
 	case waited >= r.TimeLeft:
 		h.finish(a, AdmitResponse{Refusal: dispatch.Expired, RetryAfter: maxStartDelay})
-	case a.starts && waited > maxStartDelay:
+	case a.starts && h.behind(a) > maxStartDelay:
 		h.finish(a, overloadedResponse(waited))
 	default:
 		r.TimeLeft -= waited
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -155,6 +155,7 @@
 	h.leaving = h.options.Machine.leavingTargets()
 	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
+	h.overload, h.refusedShare = overload.Controller{}, 0
 	current := &leadership{since: since}
 	current.lease.extend(leaseExpiry)
 	h.leadership.Store(current)
--- a/server/ledger/lease.go
+++ b/server/ledger/lease.go
@@ -33,6 +33,9 @@
 	// since identifies the leadership.
 	since time.Time
 	lease lease
+	// validFrom is when the lease became valid after it had lapsed, in nanoseconds of the boot
+	// clock; 0 if it has not lapsed.
+	validFrom atomic.Int64
 	// lapsedAt is when the lease lapsed, on the boot clock; 0 while it is valid. Only tick
 	// uses it.
 	lapsedAt time.Duration
@@ -50,7 +53,7 @@
 // until the control role has sent one.
 func (h *Host) canAdmit() bool {
 	current := h.leadership.Load()
-	return current != nil && current.lease.valid() && h.options.View().Revision > 0
+	return h.leads() && current.lease.valid() && h.options.View().Revision > 0
 }
 
 // renewLease confirms the leadership with a quorum and extends the lease. A new
@@ -69,6 +72,9 @@
 	}
 	current := h.leadership.Load()
 	if current != nil && current.since.Equal(since) {
+		if !current.lease.valid() {
+			current.validFrom.Store(int64(bootclock.Now()))
+		}
 		current.lease.extend(start + leaseDuration)
 		h.inbox.wake()
 		return
--- a/server/ledger/lease_test.go
+++ b/server/ledger/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/server/bootclock"
 )
 
 // renewUntilLeading renews the lease of a store until it admits requests.
@@ -126,3 +127,26 @@
 	assert.Equal(t, "t", (<-response).Target)
 	assert.Same(t, l, c.connect(t.Context()), "the connection is kept")
 }
+
+// TestLapsedLeaseRefusesNothing guards against requests that are refused as if the leader were
+// overloaded, because they had to wait for its lease.
+func TestLapsedLeaseRefusesNothing(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	go s.host.batcher.run(s.ctx)
+	go s.host.runDecider(s.ctx)
+	s.renewUntilLeading(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	require.NotNil(t, c.connect(t.Context()))
+	time.Sleep(leaseDuration)
+	r := turnRequest("starts", 1000, 10)
+	r.Program, r.TimeLeft = "p", 5*time.Second
+	response := admitAsync(t.Context(), c, r)
+	for range 30 {
+		s.host.tick()
+		time.Sleep(tickInterval)
+	}
+	require.Greater(t, s.host.inbox.delay(bootclock.Now()), maxStartDelay)
+	s.renewUntilLeading(t)
+	assert.Equal(t, "t", (<-response).Target)
+	assert.Zero(t, s.host.refusedShare)
+}
--- a/server/ledger/load.go
+++ b/server/ledger/load.go
@@ -32,7 +32,12 @@
 // updateLoad measures how far the decider is behind. The caller holds h.mu.
 func (h *Host) updateLoad() {
 	before := h.refusedShare
-	h.refusedShare = h.overload.Update(h.inbox.delay(bootclock.Now()))
+	delay := h.inbox.delay(bootclock.Now())
+	if !h.canAdmit() {
+		h.overload.Pause(delay)
+		return
+	}
+	h.refusedShare = h.overload.Update(delay)
 	if (before == 0) != (h.refusedShare == 0) {
 		h.options.Log.WithFields(logrus.Fields{"event": "ledger_overload", "refused_share": h.refusedShare, "queued": h.inbox.len()}).Info("the leader is overloaded or keeps up again")
 	}
