--- a/server/ledger/lease.go
+++ b/server/ledger/lease.go
@@ -85,21 +85,24 @@
 	h.answerParked()
 }
 
-// logLease logs that the lease has lapsed or is valid again. Only tick calls it.
+// logLease logs that the lease of the current leadership has lapsed or is valid again. Only
+// tick calls it.
 func (h *Host) logLease() {
 	current := h.leadership.Load()
-	if current == nil || h.leads() && current.lease.valid() == (current.lapsedAt == 0) {
+	if !h.leads() {
+		return
+	}
+	lapsed := !current.lease.valid()
+	if lapsed == (current.lapsedAt != 0) {
 		return
 	}
 	now := bootclock.Now()
-	fields := logrus.Fields{"event": "ledger_lease", "valid": current.lapsedAt != 0, "queued": h.inbox.len()}
-	if current.lapsedAt == 0 {
+	fields := logrus.Fields{"event": "ledger_lease", "valid": !lapsed, "queued": h.inbox.len()}
+	if lapsed {
 		current.lapsedAt = now
-	} else if h.leads() {
+	} else {
 		fields["lapsed_ms"] = (now - current.lapsedAt).Milliseconds()
 		current.lapsedAt = 0
-	} else {
-		return
 	}
 	h.options.Log.WithFields(fields).Info("lease of the leader has lapsed or is valid again")
 }
