--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -18,15 +18,6 @@
 const (
 	// linkDialTimeout bounds one connection attempt to a store VM.
 	linkDialTimeout = 200 * time.Millisecond
-	// pingInterval is the time between pings while requests are pending.
-	pingInterval = 120 * time.Millisecond
-	// silenceTimeout is the time without a message from the store VM, while requests
-	// are pending, after which the connection is closed.
-	silenceTimeout = 400 * time.Millisecond
-	// idlePingInterval and idleSilenceTimeout are the same while no request is pending. The
-	// store VM closes a connection on which it receives nothing for rpc.SilenceTimeout.
-	idlePingInterval   = time.Second
-	idleSilenceTimeout = 2 * time.Second
 	// confirmationRetention is how long the outcome of a reservation is kept for a call
 	// of confirm.
 	confirmationRetention = 10 * time.Second
@@ -281,47 +272,6 @@
 	}
 }
 
-// monitor sends pings while no other messages arrive, rarely if no request is pending, and
-// fails the connection if the store VM remains silent.
-func (l *clientLink) monitor() {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	wasIdle := true
-	for {
-		select {
-		case <-l.closed:
-			return
-		case <-ticker.C:
-		}
-		l.mu.Lock()
-		pending := len(l.pendingAdmissions) > 0 || l.pendingConfirms > 0 || len(l.pendingKeeps) > 0
-		if pending && wasIdle {
-			// The silence timeout starts at the first check with a pending request.
-			l.lastReceived = time.Now()
-		}
-		wasIdle = !pending
-		quiet := time.Since(l.lastReceived)
-		l.removeExpiredConfirmations()
-		l.mu.Unlock()
-		interval, timeout := idlePingInterval, idleSilenceTimeout
-		if pending {
-			interval, timeout = pingInterval, silenceTimeout
-		}
-		switch {
-		case quiet < interval:
-			// A response shows as much as a pong.
-		case quiet > timeout:
-			l.onFailure(l, errSilenceTimeout)
-			return
-		default:
-			if err := l.send(kindPing, nil); err != nil {
-				l.onFailure(l, err)
-				return
-			}
-		}
-	}
-}
-
 // keep requests to record the holders of a turn and waits for the outcome.
 func (l *clientLink) keep(ctx context.Context, k history.Keep) (keepState, error) {
 	ch := make(chan keepState, 1)
@@ -348,16 +298,6 @@
 	}
 }
 
-// removeExpiredConfirmations removes confirmations older than confirmationRetention,
-// whose turns have usually ended. The caller holds l.mu.
-func (l *clientLink) removeExpiredConfirmations() {
-	for id, c := range l.confirmations {
-		if time.Since(c.createdAt) > confirmationRetention {
-			delete(l.confirmations, id)
-		}
-	}
-}
-
 // close closes the connection; pending requests fail with err.
 func (l *clientLink) close(err error) {
 	l.mu.Lock()
