--- a/server/ledger/outofstep_test.go
+++ b/server/ledger/outofstep_test.go
@@ -20,9 +20,10 @@
 	_, err := outOfStep.Admit(t.Context(), turnRequest("before the release", 1000, 10))
 	require.NoError(t, err)
 	released := catalog.Target{ID: "new", Service: "s", Address: "10.0.0.2:1", Software: "v2", Slots: 9, State: catalog.Ready}
-	view := registry.View{Revision: 2, Targets: append([]catalog.Target{released}, s.view.Load().Targets...)}
-	s.view.Store(&view)
-	s.host.Update(&view)
+	earlier := s.view.Load()
+	view := &registry.View{Revision: 2, Targets: append([]catalog.Target{released}, earlier.Targets...)}
+	s.view.Store(view)
+	s.host.Update(view)
 	begun := turnRequest("begun", 1000, 10)
 	begun.Stream, begun.Exclude = true, []string{"t"}
 	response, err := other.Admit(t.Context(), begun)
@@ -35,9 +36,9 @@
 	require.NoError(t, err)
 	assert.Equal(t, "v2", response.Software, "no other version, although the entry excludes the target")
 
-	view.Targets = view.Targets[1:]
-	s.view.Store(&view)
-	s.host.Update(&view)
+	view = &registry.View{Revision: 3, Targets: earlier.Targets}
+	s.view.Store(view)
+	s.host.Update(view)
 	again = turnRequest("after it left", 1000, 10)
 	again.Stream, again.Continues, again.Resumes = true, true, "begun"
 	response, err = outOfStep.Admit(t.Context(), again)
