forward: no refusal denies a run that another entry knows of

The caller was told "not run" for work that a target may have done.

Cause: the guard stood only in admit; the refusals of prepare and of a history that can't be read went round it. Fix: respondError, through which all error statuses go, replaces a status that denies a run by 502 once a target may have run the request.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -49,6 +49,8 @@
 	// unavailableRetryAfter is the Retry-After value of requests that could not be
 	// admitted.
 	unavailableRetryAfter = 300 * time.Millisecond
+	// reasonAnswerLost is the reason of a request that a target may have run.
+	reasonAnswerLost = "answer_lost"
 	// maxResponseBytes bounds the body of a buffered response.
 	maxResponseBytes = 8 << 20
 	// firstViewTimeout bounds the wait for the first configuration after the start of
@@ -250,9 +252,13 @@
 func (x *exchange) timeLeft() time.Duration { return x.deadline - bootclock.Now() }
 
 // respondError sends the caller an error status of this entry, with the reason as the
-// body. A retryAfter of 0 omits the Retry-After header. The result is always false, so
-// that prepare can return it.
+// body. A retryAfter of 0 omits the Retry-After header. If a target may have run the request,
+// a status that denies it is replaced. The result is always false, so that prepare can return
+// it.
 func (x *exchange) respondError(status int, reason string, retryAfter time.Duration) bool {
+	if x.mayHaveRun && deniesRun(status) {
+		status, reason, retryAfter = http.StatusBadGateway, reasonAnswerLost, 0
+	}
 	x.record.status, x.record.reason = status, reason
 	h := x.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -265,6 +271,12 @@
 	return false
 }
 
+// deniesRun reports whether an error status of an entry says that no target has run the
+// request.
+func deniesRun(status int) bool {
+	return status != http.StatusBadGateway && status != http.StatusGatewayTimeout
+}
+
 // run requests admission and forwards the request, again at another target after a
 // failure, until the caller has a response. If this VM has lost its links, another entry
 // does so.
@@ -315,7 +327,7 @@
 	case x.mayHaveRun && x.timeLeft() <= 0:
 		x.respondError(http.StatusGatewayTimeout, "target_timeout", 0)
 	case x.mayHaveRun:
-		x.respondError(http.StatusBadGateway, "answer_lost", 0)
+		x.respondError(http.StatusBadGateway, reasonAnswerLost, 0)
 	default:
 		x.respondError(http.StatusServiceUnavailable, "no_target", unavailableRetryAfter)
 	}
