--- a/server/forward/relay_test.go
+++ b/server/forward/relay_test.go
@@ -17,15 +17,16 @@
 	"hemlockvale.dev/server/rpc"
 )
 
-// startRelayServer serves the requests that other entries offer to e, at the result.
-func startRelayServer(t *testing.T, e *Entry) string {
+// serveRelays serves the requests that other entries offer to e, if accept takes them, until
+// the test ends. It calls observe for each connection.
+func serveRelays(t *testing.T, listener net.Listener, e *Entry, accept func(relay.Offer) error, observe func(net.Conn)) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	// The entry decides about offers before it changes its state in these tests.
-	relays := relay.NewServer(e, func(relay.Offer) error { return nil }, e.options.Log)
+	relays := relay.NewServer(e, accept, e.options.Log)
 	server := rpc.NewServer(e.options.Log)
-	server.HandleConn(relay.Preface, relays.HandleConn)
+	server.HandleConn(relay.Preface, func(c net.Conn, r *bufio.Reader) {
+		observe(c)
+		relays.HandleConn(c, r)
+	})
 	go func() { _ = server.Serve(listener) }()
 	go func() { _ = relays.Serve() }()
 	t.Cleanup(func() {
@@ -35,7 +36,6 @@
 		defer cancel()
 		assert.NoError(t, relays.Stop(ctx))
 	})
-	return listener.Addr().String()
 }
 
 // TestRelayedRunIsNotDenied guards against a "not run" status for a request that another
@@ -58,7 +58,12 @@
 			if c.stopping {
 				server = startStoppingEntry(t, l, time.Minute, time.Second)
 			}
-			address := startRelayServer(t, server.Config.Handler.(*Entry))
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			// The stop begins after the entry has accepted the offer.
+			accept := func(relay.Offer) error { return nil }
+			serveRelays(t, listener, server.Config.Handler.(*Entry), accept, func(net.Conn) {})
+			address := listener.Addr().String()
 			assert.Equal(t, c.status, relayedStatus(t, address, 0, c.path, c.key), "not run before")
 			assert.Equal(t, http.StatusBadGateway, relayedStatus(t, address, 1, c.path, c.key), "may have run before")
 		})
