entry: a connection on which a target has refused carries no further request

Cause: net/http matches responses to requests by order alone, and a refusal was believed before its id was looked at. Fix: targetConn notices a refusal (429, 503) as its bytes arrive, before the transport can use the connection again. The first write of a further request fails with nothing sent, which makes the transport send it on another connection. The id of a response is checked before its status; a response to another request ends the connection too. Rejected: closing the connection once the caller of the transport sees the refusal, because another request may have it by then; not believing refusals without an id on a kept connection, because a plain service that is busy would count as failed.

--- a/server/entry/chatrun.go
+++ b/server/entry/chatrun.go
@@ -173,11 +173,8 @@
 
 // receiveResponse reads the response of one engine.
 func (run *chatRun) receiveResponse(x *exchange) attempt {
-	if isRejection(x.response, run.call.nonIdempotent) {
-		return attempt{result: retry.Rejected, err: fmt.Errorf("target answered %s", x.response.Status)}
-	}
-	if echoedID := x.response.Header.Get(headerRequest); echoedID != "" && echoedID != run.call.id {
-		return attempt{result: retry.NoAnswer, err: fmt.Errorf("target answered request %s", echoedID)}
+	if result, err := x.checkResponse(run.call.id, run.call.nonIdempotent); err != nil {
+		return attempt{result: result, err: err}
 	}
 	if !strings.HasPrefix(x.response.Header.Get("Content-Type"), contentTypeSSE) {
 		return run.receiveUnstreamed(x)
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/url"
 	"path"
@@ -310,11 +309,8 @@
 		return nil, nil, attempt{result: result, err: err}
 	}
 	defer x.close()
-	if isRejection(x.response, c.nonIdempotent) {
-		return nil, nil, attempt{result: retry.Rejected, err: fmt.Errorf("target answered %s", x.response.Status)}
-	}
-	if echoedID := x.response.Header.Get(headerRequest); echoedID != "" && echoedID != c.id {
-		return nil, nil, attempt{result: retry.NoAnswer, err: fmt.Errorf("target answered request %s", echoedID)}
+	if result, err := x.checkResponse(c.id, c.nonIdempotent); err != nil {
+		return nil, nil, attempt{result: result, err: err}
 	}
 	body, err := x.readAll(maxResponseBytes)
 	if err != nil {
@@ -324,18 +320,6 @@
 	return stored, responseHeaders(x.response.Header), attempt{result: retry.Completed}
 }
 
-// isRejection reports whether the response proves that the target did not run the
-// request. Status 503 does not prove it for a non-idempotent request.
-func isRejection(r *http.Response, nonIdempotent bool) bool {
-	switch r.StatusCode {
-	case http.StatusTooManyRequests:
-		return true
-	case http.StatusServiceUnavailable:
-		return !nonIdempotent
-	}
-	return false
-}
-
 // targetHeaders returns the headers of the request to a target.
 func (c *call) targetHeaders(h http.Header) http.Header {
 	out := forwardedHeaders(h, c.secrets)
--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,10 +57,17 @@
 			Count:    keepAliveCount,
 		},
 	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &targetConn{Conn: conn}, nil
+	}
 	newHTTPClient := func(disableKeepAlives bool) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext:         dial,
 				DisableCompression:  true,
 				DisableKeepAlives:   disableKeepAlives,
 				MaxIdleConnsPerHost: 256,
@@ -82,7 +90,9 @@
 
 // exchange is one request to a target and its response.
 type exchange struct {
-	response     *http.Response
+	response *http.Response
+	// conn is the connection that was used; nil while there is none.
+	conn         *targetConn
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	silenceTimer *time.Timer
@@ -94,8 +104,7 @@
 func (t *targetClient) open(parent context.Context, request targetRequest, limitSilence bool) (*exchange, retry.Result, error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	x := &exchange{ctx: ctx, cancel: cancel}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	trace := &httptrace.ClientTrace{GotConn: x.useConn}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), request.method, request.url, bytes.NewReader(request.body))
 	if err != nil {
 		cancel(nil)
@@ -111,13 +120,48 @@
 	}
 	x.response, err = client.Do(req)
 	if err != nil {
-		result := x.classifyError(err, connected)
+		result := x.classifyError(err, x.conn != nil)
 		x.close()
 		return nil, result, err
 	}
 	return x, retry.Completed, nil
 }
 
+// useConn is called with the connection for the request, again if the transport sends it on
+// another one.
+func (x *exchange) useConn(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*targetConn); ok && conn.begin() {
+		x.conn = conn
+	}
+}
+
+// checkResponse returns an error, and how far the request with the given id got, if the
+// response refuses the request or belongs to another one.
+func (x *exchange) checkResponse(id string, nonIdempotent bool) (retry.Result, error) {
+	if echoedID := x.response.Header.Get(headerRequest); echoedID != "" && echoedID != id {
+		x.conn.discard()
+		return retry.NoAnswer, fmt.Errorf("target answered request %s", echoedID)
+	}
+	if isRejection(x.response, nonIdempotent) {
+		return retry.Rejected, fmt.Errorf("target answered %s", x.response.Status)
+	}
+	return retry.Completed, nil
+}
+
+// isRejection reports whether the response proves that the target did not run the
+// request. Status 503 does not prove it for a non-idempotent request.
+func isRejection(r *http.Response, nonIdempotent bool) bool {
+	if r.StatusCode == http.StatusServiceUnavailable && nonIdempotent {
+		return false
+	}
+	return isRefusal(r.StatusCode)
+}
+
+// isRefusal reports whether targets refuse requests with a status.
+func isRefusal(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // Read reads from the body of the response and restarts the silence timer.
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.response.Body.Read(p)
