--- a/server/ledger/load.go
+++ b/server/ledger/load.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// reportLoad tells the entry which requests to refuse, if that has changed. The caller holds
-// h.mu.
+// reportLoad tells the entry which requests to refuse, again at each interval while there are
+// any. The caller holds h.mu.
 func (l *link) reportLoad() {
 	share := l.host.refusedShare
 	now := bootclock.Now()
