--- a/server/entry/odd_response_test.go
+++ b/server/entry/odd_response_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,6 +138,37 @@
 	}
 }
 
+// TestRequestAfterARefusal guards against a request with a body that is lost because it was
+// first written to the connection on which the target had refused another one.
+func TestRequestAfterARefusal(t *testing.T) {
+	var conns, requests atomic.Int32
+	engine := streamingEngine(true, "one")
+	f := newFixture(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		engine(w, r)
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	f.targets.list = []fakeTarget{{"t", server.Listener.Addr().String()}}
+	require.Equal(t, ExecutedNo, f.decodeProblem(f.sendAuthorized(http.MethodPost, chatPath, chatBody)).Executed)
+	for range 3 {
+		response := f.sendAuthorized(http.MethodPost, chatPath, chatBody)
+		require.Equal(t, http.StatusOK, response.StatusCode, readAll(t, response.Body))
+	}
+	assert.EqualValues(t, 4, requests.Load())
+	assert.EqualValues(t, 2, conns.Load(), "connections without a refusal are kept")
+}
+
 // TestHeadThatIsCutOff guards against a success for a response that ends inside its head, at
 // any byte.
 func TestHeadThatIsCutOff(t *testing.T) {
