entry: what arrives on a spent connection is no response

Found while reading the change as a newcomer: if the copy of a refusal arrives after the transport has handed a spent connection to a request and before the first write fails, net/http may deliver the copy as the response, and discard would meet no connection. open now returns "not sent" then, or "no answer" if an earlier connection may have carried the request. Informational statuses end the use of a connection too, because only the first status of a response is looked at.

--- a/server/entry/odd_response_test.go
+++ b/server/entry/odd_response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -138,6 +139,35 @@
 	}
 }
 
+// TestCopyThatRacesTheNextRequest guards against a response to nothing that is taken for that to
+// the next request, because it arrives while the connection is handed over.
+func TestCopyThatRacesTheNextRequest(t *testing.T) {
+	const rounds, copyDelays = 200, 500 * time.Microsecond
+	f := newFixture(t)
+	f.targets.list = []fakeTarget{startScript(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		for request := readRequest(r); request != nil; request = readRequest(r) {
+			query := request.URL.RawQuery
+			if !strings.HasSuffix(query, "refused") {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(query), query)
+				continue
+			}
+			refusal := "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+			fmt.Fprint(conn, refusal)
+			time.Sleep(rand.N(copyDelays))
+			fmt.Fprint(conn, refusal)
+		}
+	})}
+	for n := range rounds {
+		refused := f.send(http.MethodGet, fmt.Sprintf("/services/app/status?n=%d-refused", n), "")
+		require.Equal(t, ExecutedNo, f.decodeProblem(refused).Executed)
+		query := fmt.Sprintf("n=%d", n)
+		response := f.send(http.MethodGet, "/services/app/status?"+query, "")
+		if response.StatusCode == http.StatusOK {
+			require.Equal(t, query, readAll(t, response.Body))
+		}
+	}
+}
+
 // TestRequestAfterARefusal guards against a request with a body that is lost because it was
 // first written to the connection on which the target had refused another one.
 func TestRequestAfterARefusal(t *testing.T) {
--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -91,8 +91,10 @@
 // exchange is one request to a target and its response.
 type exchange struct {
 	response *http.Response
-	// conn is the connection that was used; nil while there is none.
+	// conn is the connection that carries the request; nil if none does. connected is set once
+	// one was to.
 	conn         *targetConn
+	connected    bool
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	silenceTimer *time.Timer
@@ -120,18 +122,27 @@
 	}
 	x.response, err = client.Do(req)
 	if err != nil {
-		result := x.classifyError(err, x.conn != nil)
+		result := x.classifyError(err, x.connected)
 		x.close()
 		return nil, result, err
 	}
+	if x.conn == nil {
+		// A refusal was written twice, and the copy arrived just before the first write.
+		x.close()
+		if x.connected {
+			return nil, retry.NoAnswer, errConnSpent
+		}
+		return nil, retry.NotSent, errConnSpent
+	}
 	return x, retry.Completed, nil
 }
 
 // useConn is called with the connection for the request, again if the transport sends it on
 // another one.
 func (x *exchange) useConn(info httptrace.GotConnInfo) {
+	x.conn = nil
 	if conn, ok := info.Conn.(*targetConn); ok && conn.begin() {
-		x.conn = conn
+		x.conn, x.connected = conn, true
 	}
 }
 
--- a/server/entry/targetconn.go
+++ b/server/entry/targetconn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 )
@@ -66,7 +67,10 @@
 		return
 	}
 	status, err := strconv.Atoi(string(c.head[statusStart:]))
-	c.spent = c.spent || err != nil || isRefusal(status)
+	// After an informational status, another one follows that is not noticed.
+	if err != nil || status < http.StatusOK || isRefusal(status) {
+		c.spent = true
+	}
 }
 
 // Write writes to the connection, unless a request was to use it that must not.
