--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -257,6 +257,7 @@
 // it.
 func (x *exchange) respondError(status int, reason string, retryAfter time.Duration) bool {
 	if x.mayHaveRun && deniesRun(status) {
+		x.entry.options.Log.WithFields(logrus.Fields{"event": "refusal_withheld", "request": x.call.ID, "status": status, "reason": reason}).Info("a target may have run a request that is refused now")
 		status, reason, retryAfter = http.StatusBadGateway, reasonAnswerLost, 0
 	}
 	x.record.status, x.record.reason = status, reason
