--- a/coord/history/directory.go
+++ b/coord/history/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 )
 
 const (
@@ -35,12 +36,21 @@
 	Copied bool `json:"c,omitempty"`
 }
 
+// holderSet is a list of holders that several turns share. There are few of them, so what
+// depends on the holders alone is decided for each list and not for each turn.
+type holderSet struct {
+	// holders are the storages, the latest last.
+	holders []string
+	// turns is the number of turns with these holders.
+	turns int
+}
+
 // entry is what the directory knows about one turn.
 type entry struct {
-	Holders []string `json:"h"`
-	// KeptSeconds is the Unix time at which the turn was kept.
-	KeptSeconds      int64 `json:"k"`
-	RetentionSeconds int64 `json:"r"`
+	*holderSet
+	// keptSeconds is the Unix time at which the turn was kept.
+	keptSeconds      int64
+	retentionSeconds int64
 }
 
 // expires returns the Unix time after which the turn is forgotten.
@@ -51,12 +61,14 @@
 
 // after returns the Unix time at which the given multiple of the retention has passed.
 func (e *entry) after(factor int64) int64 {
-	return e.KeptSeconds + factor*max(e.RetentionSeconds, minRetentionSeconds)
+	return e.keptSeconds + factor*max(e.retentionSeconds, minRetentionSeconds)
 }
 
 // Directory is the replicated index of the kept turns. It is not safe for concurrent use.
 type Directory struct {
 	turns map[Turn]*entry
+	// sets holds the lists of holders, by setKey.
+	sets map[string]*holderSet
 	// retired holds the storages that must not be named as holders any more, with the Unix
 	// time at which they were retired.
 	retired map[string]int64
@@ -64,7 +76,36 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{turns: make(map[Turn]*entry), retired: make(map[string]int64)}
+	return &Directory{turns: make(map[Turn]*entry), sets: make(map[string]*holderSet), retired: make(map[string]int64)}
+}
+
+// setKey identifies a list of holders. Storages contain no line feed.
+func setKey(holders []string) string { return strings.Join(holders, "\n") }
+
+// assign replaces the holders of a turn. It does not change the former list, which Lookup
+// returns to readers.
+func (d *Directory) assign(e *entry, holders []string) {
+	key := setKey(holders)
+	set := d.sets[key]
+	if set == nil {
+		set = &holderSet{holders: holders}
+		d.sets[key] = set
+	}
+	set.turns++
+	d.unassign(e)
+	e.holderSet = set
+}
+
+// unassign removes the turn from the list of its holders.
+func (d *Directory) unassign(e *entry) {
+	if e.holderSet == nil {
+		return
+	}
+	e.turns--
+	if e.turns == 0 {
+		delete(d.sets, setKey(e.holders))
+	}
+	e.holderSet = nil
 }
 
 // Keep records a turn and reports whether it did. It refuses a holder that is retired,
@@ -78,13 +119,15 @@
 		return false
 	}
 	if e == nil {
-		e = &entry{KeptSeconds: unixSeconds, RetentionSeconds: k.RetentionSeconds}
+		e = &entry{keptSeconds: unixSeconds, retentionSeconds: k.RetentionSeconds}
 		d.turns[k.Turn] = e
 	}
-	// Lookup returns the list to readers, so it is replaced and not changed.
-	holders := slices.DeleteFunc(slices.Clone(e.Holders), func(s string) bool { return slices.Contains(k.Holders, s) })
+	var holders []string
+	if e.holderSet != nil {
+		holders = slices.DeleteFunc(slices.Clone(e.holders), func(s string) bool { return slices.Contains(k.Holders, s) })
+	}
 	holders = append(holders, k.Holders...)
-	e.Holders = holders[max(0, len(holders)-maxHolders):]
+	d.assign(e, holders[max(0, len(holders)-maxHolders):])
 	return true
 }
 
@@ -95,7 +138,7 @@
 	if e == nil {
 		return nil, false
 	}
-	return e.Holders, true
+	return e.holders, true
 }
 
 // Retire excludes a storage from holding further records. The records that it holds stay
@@ -117,6 +160,7 @@
 	maps.DeleteFunc(d.retired, func(_ string, at int64) bool { return at+retiredSeconds < unixSeconds })
 	for t, e := range d.turns {
 		if e.expires() < unixSeconds {
+			d.unassign(e)
 			delete(d.turns, t)
 		}
 	}
@@ -152,39 +196,25 @@
 			lasting++
 		}
 	}
-	wanted = min(wanted, lasting)
+	incomplete := d.incompleteSets(byStorage, min(wanted, lasting))
 	plan := RepairPlan{}
-	type candidate struct {
-		turn    Turn
-		holders []Store
-		// copies counts the holders that are not retiring.
-		copies int
+	if len(incomplete) == 0 {
+		return plan
 	}
-	var candidates []candidate
+	var candidates []repairCandidate
 	for t, e := range d.turns {
-		if !e.needsCopies(unixSeconds) {
-			continue
-		}
-		c := candidate{turn: t}
-		for _, storage := range e.Holders {
-			if s, ok := byStorage[storage]; ok {
-				c.holders = append(c.holders, s)
-				if !s.Retiring {
-					c.copies++
-				}
-			}
-		}
-		if c.copies >= wanted {
+		available, found := incomplete[e.holderSet]
+		if !found || !e.needsCopies(unixSeconds) {
 			continue
 		}
 		plan.Missing++
-		if len(c.holders) == 0 {
+		if len(available.holders) == 0 {
 			plan.Lost++
 			continue
 		}
-		candidates = append(candidates, c)
+		candidates = append(candidates, repairCandidate{t, available})
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
+	slices.SortFunc(candidates, func(a, b repairCandidate) int {
 		return cmp.Or(cmp.Compare(a.copies, b.copies), cmp.Compare(a.turn.ID, b.turn.ID), cmp.Compare(a.turn.Organisation, b.turn.Organisation))
 	})
 	for _, c := range candidates[:min(limit, len(candidates))] {
@@ -196,6 +226,40 @@
 	return plan
 }
 
+// availableHolders describes the present VMs of a list of holders.
+type availableHolders struct {
+	holders []Store
+	// copies counts the holders that are not retiring.
+	copies int
+}
+
+// repairCandidate is a turn with too few copies.
+type repairCandidate struct {
+	turn Turn
+	availableHolders
+}
+
+// incompleteSets returns the lists of holders of which fewer than wanted are present and not
+// retiring.
+func (d *Directory) incompleteSets(present map[string]Store, wanted int) map[*holderSet]availableHolders {
+	incomplete := make(map[*holderSet]availableHolders)
+	for _, set := range d.sets {
+		var a availableHolders
+		for _, storage := range set.holders {
+			if s, ok := present[storage]; ok {
+				a.holders = append(a.holders, s)
+				if !s.Retiring {
+					a.copies++
+				}
+			}
+		}
+		if a.copies < wanted {
+			incomplete[set] = a
+		}
+	}
+	return incomplete
+}
+
 // destination returns the VM that should get one more copy. It prefers a data centre that
 // has none.
 func destination(present map[string]Store, t Turn, holders []Store) (Store, bool) {
@@ -225,17 +289,26 @@
 	for _, s := range present {
 		lasting[s.Storage] = !s.Retiring && !d.Retired(s.Storage) && s.Storage != storage
 	}
-	for _, e := range d.turns {
-		if !e.needsCopies(unixSeconds) || !slices.Contains(e.Holders, storage) {
+	depending := make(map[*holderSet]bool)
+	for _, set := range d.sets {
+		if !slices.Contains(set.holders, storage) {
 			continue
 		}
 		copies := 0
-		for _, holder := range e.Holders {
+		for _, holder := range set.holders {
 			if lasting[holder] {
 				copies++
 			}
 		}
 		if copies < wanted {
+			depending[set] = true
+		}
+	}
+	if len(depending) == 0 {
+		return false
+	}
+	for _, e := range d.turns {
+		if depending[e.holderSet] && e.needsCopies(unixSeconds) {
 			return true
 		}
 	}
@@ -251,15 +324,17 @@
 
 // TurnImage is the encoded form of one turn.
 type TurnImage struct {
-	Turn Turn `json:"t"`
-	entry
+	Turn             Turn     `json:"t"`
+	Holders          []string `json:"h"`
+	KeptSeconds      int64    `json:"k"`
+	RetentionSeconds int64    `json:"r"`
 }
 
 // Image returns the content of the directory.
 func (d *Directory) Image() Image {
 	image := Image{Turns: make([]TurnImage, 0, len(d.turns)), Retired: maps.Clone(d.retired)}
 	for t, e := range d.turns {
-		image.Turns = append(image.Turns, TurnImage{t, *e})
+		image.Turns = append(image.Turns, TurnImage{t, e.holders, e.keptSeconds, e.retentionSeconds})
 	}
 	return image
 }
@@ -268,7 +343,9 @@
 func FromImage(image Image) *Directory {
 	d := NewDirectory()
 	for _, t := range image.Turns {
-		d.turns[t.Turn] = &t.entry
+		e := &entry{keptSeconds: t.KeptSeconds, retentionSeconds: t.RetentionSeconds}
+		d.assign(e, t.Holders)
+		d.turns[t.Turn] = e
 	}
 	maps.Copy(d.retired, image.Retired)
 	return d
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -13,6 +13,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/history"
@@ -96,6 +98,12 @@
 	return total
 }
 
+func (a *account) clone() *account {
+	c := *a
+	c.Reserved = maps.Clone(a.Reserved)
+	return &c
+}
+
 // State is the replicated state: the token accounts of the programs. It is not safe
 // for concurrent use.
 type State struct {
@@ -263,13 +271,17 @@
 }
 
 // Snapshot returns the encoded state.
-func (s *State) Snapshot() ([]byte, error) {
-	encoded := snapshot{LatestSeconds: s.latestSeconds, SweptSeconds: s.sweptSeconds, Accounts: make([]programAccount, 0, len(s.accounts))}
+func (s *State) Snapshot() ([]byte, error) { return s.Capture()() }
+
+// Capture copies the state and returns a function that encodes the copy. The function may run
+// while the state changes.
+func (s *State) Capture() func() ([]byte, error) {
+	captured := snapshot{LatestSeconds: s.latestSeconds, SweptSeconds: s.sweptSeconds, Accounts: make([]programAccount, 0, len(s.accounts))}
 	for p, a := range s.accounts {
-		encoded.Accounts = append(encoded.Accounts, programAccount{p, a})
+		captured.Accounts = append(captured.Accounts, programAccount{p, a.clone()})
 	}
-	encoded.Turns, encoded.Suspects, encoded.Leaving = s.turns.Image(), s.suspects.List(), s.leaving.List()
-	return json.Marshal(encoded)
+	captured.Turns, captured.Suspects, captured.Leaving = s.turns.Image(), s.suspects.List(), slices.Clone(s.leaving.List())
+	return func() ([]byte, error) { return json.Marshal(captured) }
 }
 
 // Restore replaces the state by one that Snapshot encoded.
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -77,10 +77,13 @@
 }
 
 // Snapshot returns the encoded state.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+
+// Capture implements quorum.Capturer. Requests wait only while the state is copied.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.state.Snapshot()
+	return m.state.Capture()
 }
 
 // Restore replaces the state by one that Snapshot encoded.
--- a/server/quorum/loop.go
+++ b/server/quorum/loop.go
@@ -209,15 +209,35 @@
 }
 
 // takeSnapshot compacts the log up to the last applied entry. After an error the log
-// keeps growing until the next attempt, which follows the next commit.
+// keeps growing until the next attempt, which follows the next commit. A state machine that
+// implements Capturer is encoded in a goroutine: all replicas take the snapshot of an index at
+// about the same time, and the group would commit nothing meanwhile.
 func (q *Quorum) takeSnapshot() []raft.Effect {
-	data, err := q.opts.StateMachine.Snapshot()
+	index := q.loop.applied
+	c, captures := q.opts.StateMachine.(Capturer)
+	if !captures {
+		return q.step(q.encodeSnapshot(index, q.opts.StateMachine.Snapshot))
+	}
+	encode := c.Capture()
+	go func() {
+		// The loop stops together with q.ctx, so that no one waits for the input then.
+		select {
+		case q.inputs <- input{event: q.encodeSnapshot(index, encode)}:
+		case <-q.ctx.Done():
+		}
+	}()
+	return nil
+}
+
+// encodeSnapshot returns the event that delivers the snapshot of the state at an index.
+func (q *Quorum) encodeSnapshot(index uint64, encode func() ([]byte, error)) raft.SnapshotTaken {
+	data, err := encode()
 	if err != nil {
-		q.log.WithFields(logrus.Fields{"event": "quorum_snapshot_failed", "index": q.loop.applied}).WithError(err).Error("state machine snapshot failed")
-		return q.step(raft.SnapshotTaken{})
+		q.log.WithFields(logrus.Fields{"event": "quorum_snapshot_failed", "index": index}).WithError(err).Error("state machine snapshot failed")
+		return raft.SnapshotTaken{}
 	}
-	q.log.WithFields(logrus.Fields{"event": "quorum_snapshot", "index": q.loop.applied, "bytes": len(data)}).Info("log compacted")
-	return q.step(raft.SnapshotTaken{Index: q.loop.applied, Data: data})
+	q.log.WithFields(logrus.Fields{"event": "quorum_snapshot", "index": index, "bytes": len(data)}).Info("log compacted")
+	return raft.SnapshotTaken{Index: index, Data: data}
 }
 
 // handleRoleChanged publishes a change of role, term or leader. A replica that was the
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -80,6 +80,13 @@
 	Restore(data []byte) error
 }
 
+// Capturer is implemented by state machines whose state takes long to encode.
+type Capturer interface {
+	// Capture copies the state and returns a function that encodes the copy, as Snapshot
+	// does. The function may run while further commands are applied.
+	Capture() (encode func() ([]byte, error))
+}
+
 // Options configures a replica.
 type Options struct {
 	// Name is the replica's name in the settings.
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -26,6 +26,8 @@
 type recorder struct {
 	mu       sync.Mutex
 	commands []string
+	// beforeEncode is called before a captured state is encoded; it may be nil.
+	beforeEncode func()
 }
 
 func (r *recorder) Apply(_ uint64, data []byte) any {
@@ -37,6 +39,17 @@
 
 func (r *recorder) Snapshot() ([]byte, error) { return json.Marshal(r.list()) }
 
+// Capture implements Capturer.
+func (r *recorder) Capture() func() ([]byte, error) {
+	captured := r.list()
+	return func() ([]byte, error) {
+		if r.beforeEncode != nil {
+			r.beforeEncode()
+		}
+		return json.Marshal(captured)
+	}
+}
+
 func (r *recorder) Restore(data []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
