Stores: a faster election after the loss of all VMs

Cause: after all VMs had lost power, the store group admitted requests 0.94 s after power was back.

Votes are idempotent, so nothing else changes.

Measured: the new case of TestFaultCases failed without the repeated requests.

--- a/coord/raft/cases_test.go
+++ b/coord/raft/cases_test.go
@@ -25,6 +25,21 @@
 			s.isolate(leader.id.Name, false, true)
 			require.True(t, s.run(maxElectionTime, func() bool { return s.leader() != nil && s.leader() != leader }))
 		},
+		"candidates whose requests were lost are elected before another election timeout": func(t *testing.T, s *simulation, leader, follower *replica) {
+			for _, r := range s.replicas[:3] {
+				s.isolate(r.id.Name, true, true)
+			}
+			candidates := func() bool {
+				return !slices.ContainsFunc(s.replicas[:3], func(r *replica) bool { return r.node.Role() != PreCandidate })
+			}
+			require.True(t, s.run(maxElectionTime, candidates))
+			// The last requests are still on their way.
+			s.run(20*time.Millisecond, never)
+			for _, r := range s.replicas[:3] {
+				s.isolate(r.id.Name, false, false)
+			}
+			require.True(t, s.run(DefaultHeartbeatInterval+50*time.Millisecond, func() bool { return s.leader() != nil }))
+		},
 		"leader without a quorum steps down": func(t *testing.T, s *simulation, leader, _ *replica) {
 			s.isolate(leader.id.Name, true, true)
 			require.True(t, s.run(DefaultElectionTimeoutMax+DefaultHeartbeatInterval, func() bool { return leader.node.Role() != Leader }))
--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -36,14 +36,35 @@
 		n.advanceElection()
 		return
 	}
+	n.sendVoteRequests(kind, term)
+}
+
+// sendVoteRequests sends a request to every voter that has not responded to an earlier one.
+func (n *Node) sendVoteRequests(kind MessageKind, term uint64) {
+	n.nextVoteRequest = n.now + n.cfg.HeartbeatInterval
 	last := n.log.lastPosition()
 	for _, m := range n.configuration().Members {
-		if !m.Learner && m.ReplicaID != n.cfg.ID {
+		if _, responded := n.votes[m.ReplicaID]; !m.Learner && !responded {
 			n.send(m.ReplicaID, Message{Kind: kind, Term: term, Index: last.index, LogTerm: last.term})
 		}
 	}
 }
 
+// repeatVoteRequests asks the voters again that have not responded. When all VMs start at about
+// the same time, the first request finds some of them not ready, and the next campaign would
+// begin only after another election timeout. A repeated request gets the same response.
+func (n *Node) repeatVoteRequests() {
+	if n.now < n.nextVoteRequest {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.sendVoteRequests(MessagePreVote, n.hardState.Term+1)
+	case Candidate:
+		n.sendVoteRequests(MessageVote, n.hardState.Term)
+	}
+}
+
 // hasLeaderContact reports whether the replica is the leader or has received a
 // message from the leader within the minimum election timeout. Such a replica
 // ignores vote requests, so that a single voter that has lost its connection to
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -130,6 +130,9 @@
 	// lastLeaderContact is the time of the last message from the leader, if leader is set.
 	lastLeaderContact time.Duration
 	votes             map[ReplicaID]bool
+	// nextVoteRequest is the time at which a candidate asks again the voters that have not
+	// responded.
+	nextVoteRequest time.Duration
 
 	// The fields from progress to reads are used by the leader only.
 	progress      map[ReplicaID]*progress
@@ -223,6 +226,7 @@
 		n.campaign()
 		return "election timeout"
 	}
+	n.repeatVoteRequests()
 	return ""
 }
 
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -122,19 +122,15 @@
 	if err != nil {
 		return err
 	}
+	// Peers call this replica as soon as it listens, and opening the records takes long: a vote
+	// that is not answered delays the election after the loss of all VMs.
+	q.Register(p.rpc)
 	historyClient := history.NewClient()
-	historyServer, err := p.serveHistories(taskCtx, historyClient)
-	if err != nil {
-		return errors.Join(err, q.Close())
-	}
-	self := q.Self().Storage
-	storage.Store(&self)
 	h := ledger.New(ledger.Options{
 		Quorum: q, Machine: machine, View: follower.View, Stores: follower.HistoryStores, Copies: p.historyCopies(), Copier: historyClient,
 		Seed: xxhash.Sum64String(p.Settings.VM.ID), Log: p.Log, Metrics: p.metrics,
 	})
 	host.Store(h)
-	q.Register(p.rpc)
 	h.Register(p.rpc)
 	go h.Run(taskCtx)
 	go q.MaintainMembership(taskCtx, quorum.MembershipPolicy{
@@ -142,6 +138,12 @@
 		KnownAddresses: func() []string { return append(q.Addresses(), follower.Stores()...) },
 	})
 	go trackLeader(taskCtx, q, &leader)
+	historyServer, err := p.serveHistories(taskCtx, historyClient)
+	if err != nil {
+		return errors.Join(err, q.Close())
+	}
+	self := q.Self().Storage
+	storage.Store(&self)
 	failure := p.wait(ctx)
 	p.Log.WithField("event", "stopping").Info("planned stop started")
 	stop()
