server/progress: connections that are closed when their peer stops reading

Cause: a caller that does not read holds the bytes of its response, a goroutine and a slot at its target until the deadline of the request. Change: a listener and a connection whose writes end once the peer has acknowledged nothing for a timeout. A peer that reads slowly keeps its connection.

--- /dev/null
+++ b/server/progress/progress.go
@@ -0,0 +1,125 @@
+// Package progress closes connections whose peer has stopped reading. A write deadline alone
+// would also close the connection of a peer that reads slowly, because the kernel reports space
+// for more bytes only once much of its buffer is free.
+package progress
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// checksPerTimeout is the number of checks for progress within the timeout of a connection. A
+// peer that stops reading is noticed two intervals late at most.
+const checksPerTimeout = 5
+
+// ErrStalled is returned by Write once the peer has read nothing for the timeout.
+var ErrStalled = errors.New("peer has stopped reading")
+
+// Listener accepts connections that are closed when their peer stops reading.
+type Listener struct {
+	net.Listener
+	// Timeout is the time without progress after which a connection is closed.
+	Timeout time.Duration
+	// SendBuffer is the size of the send buffer of the kernel, which bounds the bytes that are
+	// in transit to a peer; 0 for the default of the system.
+	SendBuffer int
+	// OnStall is called once for each connection that is closed; it may be nil.
+	OnStall func()
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && l.SendBuffer > 0 {
+		if err := tcp.SetWriteBuffer(l.SendBuffer); err != nil {
+			// The connection has failed already; its first read reports that.
+			return c, nil
+		}
+	}
+	return NewConn(c, l.Timeout, l.OnStall), nil
+}
+
+// Conn is a connection whose writes end with ErrStalled, and close it, once the peer has read
+// nothing for the timeout. Write must not be called concurrently, and the write deadline must
+// not be set by others.
+type Conn struct {
+	net.Conn
+	timeout time.Duration
+	onStall func()
+}
+
+// NewConn returns a connection that watches the progress of writes to c. onStall may be nil.
+func NewConn(c net.Conn, timeout time.Duration, onStall func()) *Conn {
+	return &Conn{Conn: c, timeout: timeout, onStall: onStall}
+}
+
+// Write writes p. It waits for as long as the peer reads.
+func (c *Conn) Write(p []byte) (int, error) {
+	var (
+		written  int
+		progress time.Time
+		unacked  = -1
+	)
+	for {
+		now := time.Now()
+		if progress.IsZero() {
+			progress = now
+		}
+		if err := c.Conn.SetWriteDeadline(now.Add(c.timeout / checksPerTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		// Bytes that the peer has acknowledged count as well as those that the kernel took.
+		left := c.unacknowledged()
+		if n > 0 || left != unacked {
+			progress, unacked = time.Now(), left
+			continue
+		}
+		if time.Since(progress) < c.timeout {
+			continue
+		}
+		if c.onStall != nil {
+			c.onStall()
+		}
+		return written, errors.Join(fmt.Errorf("%w for %v", ErrStalled, c.timeout), c.reset())
+	}
+}
+
+// reset closes the connection and drops the bytes that the kernel still holds for the peer.
+func (c *Conn) reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection has failed already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
+// unacknowledged returns the bytes that were written and that the peer has not acknowledged; 0
+// if that is not known.
+func (c *Conn) unacknowledged() int {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// A failure is that of the connection, and the next write reports it.
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n
+}
