server/rpc, server/history: reserve memory for large messages before reading them

Cause: a frame of up to 64 MiB is allocated from its length prefix alone, and a history of up to 16 MiB is read into a growing buffer, in processes of 120 MB. Change: a hook that reserves the bytes of messages above 64 KiB and releases them once they are decoded. Without a hook nothing changes. Measured: go test ./server/rpc ./server/history passes.

--- a/server/history/client.go
+++ b/server/history/client.go
@@ -37,12 +37,17 @@
 var ErrUnavailable = errors.New("too few store VMs are available")
 
 // Client reads and writes the records of store VMs. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// Reserve reserves memory for a response before its bytes are read; nil for none. release is
+	// called once the response has been decoded. It must be set before the first call.
+	Reserve func(ctx context.Context, n int) (release func(), err error)
+}
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
-	return &Client{&http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerStore, IdleConnTimeout: idleTimeout,
 	}}}
 }
@@ -68,7 +73,12 @@
 	if result.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %s", address, result.Status)
 	}
-	return readMessage(result.Body, response)
+	if c.Reserve == nil {
+		return readMessage(result.Body, response)
+	}
+	reserving := &reservingReader{source: result.Body, reserve: func(n int) (func(), error) { return c.Reserve(ctx, n) }}
+	defer reserving.release()
+	return readMessage(reserving, response)
 }
 
 // fetch returns the records of some turns that a store VM holds.
--- a/server/rpc/pool.go
+++ b/server/rpc/pool.go
@@ -14,6 +14,7 @@
 // Pool keeps at most one connection to each address. It dials when a call finds no usable
 // connection.
 type Pool struct {
+	reservation
 	dialTimeout time.Duration
 	traffic     Traffic
 
@@ -99,7 +100,7 @@
 	}
 	pe := p.peers[address]
 	if pe == nil {
-		pe = &peer{address: address, traffic: &p.traffic}
+		pe = &peer{address: address, traffic: &p.traffic, reserved: &p.reservation}
 		p.peers[address] = pe
 	}
 	return pe, nil
@@ -118,8 +119,9 @@
 
 // peer is an address with its current connection, if any.
 type peer struct {
-	address string
-	traffic *Traffic
+	address  string
+	traffic  *Traffic
+	reserved *reservation
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -183,7 +185,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", p.address, ErrUnreachable, err)
 	}
-	s := newStream(c, p.traffic)
+	s := newStream(c, p.traffic, p.reserved)
 	p.conn = jsonrpc2.NewConn(context.Background(), s, rejectHandler{}, jsonrpc2.SetLogger(discardLogger{}))
 	go p.heartbeat(p.conn, s)
 	p.calls++
--- a/server/rpc/server.go
+++ b/server/rpc/server.go
@@ -16,6 +16,7 @@
 
 // Server executes the calls that arrive on the connections of its listeners.
 type Server struct {
+	reservation
 	log     *logrus.Entry
 	traffic Traffic
 
@@ -99,7 +100,7 @@
 	h := s.protocols[string(first)]
 	s.mu.Unlock()
 	if h == nil {
-		s.serveConn(newBufferedStream(counted, r))
+		s.serveConn(newBufferedStream(counted, r, &s.reservation))
 		return
 	}
 	if _, err := r.Discard(prefaceBytes); err != nil {
--- a/server/rpc/stream.go
+++ b/server/rpc/stream.go
@@ -23,22 +23,26 @@
 // read deadline and is closed. While calls are in progress and the connection works, the
 // heartbeat of the client prevents this at both ends.
 type stream struct {
-	conn    net.Conn
-	r       *bufio.Reader
-	writeMu sync.Mutex
+	conn     net.Conn
+	r        *bufio.Reader
+	writeMu  sync.Mutex
+	reserved *reservation
 	// lastRead is the Unix time in nanoseconds of the last message.
 	lastRead atomic.Int64
 }
 
-// newStream returns a stream that counts the bytes of the connection in t.
-func newStream(c net.Conn, t *Traffic) *stream {
+// newStream returns a stream that counts the bytes of the connection in t, and reserves memory
+// for large messages.
+func newStream(c net.Conn, t *Traffic, reserved *reservation) *stream {
 	counted := countedConn{c, t}
-	return &stream{conn: counted, r: bufio.NewReader(deadlineReader{counted})}
+	return &stream{conn: counted, r: bufio.NewReader(deadlineReader{counted}), reserved: reserved}
 }
 
 // newBufferedStream returns a stream that reads from r, which has already buffered the
 // first bytes of the connection.
-func newBufferedStream(c net.Conn, r *bufio.Reader) *stream { return &stream{conn: c, r: r} }
+func newBufferedStream(c net.Conn, r *bufio.Reader, reserved *reservation) *stream {
+	return &stream{conn: c, r: r, reserved: reserved}
+}
 
 // Traffic counts the bytes of all connections of a server or of a pool.
 type Traffic struct {
@@ -91,7 +95,7 @@
 
 // ReadObject reads one message.
 func (s *stream) ReadObject(v any) error {
-	err := readFrame(s.r, v)
+	err := readFrame(s.r, v, s.reserved)
 	s.lastRead.Store(time.Now().UnixNano())
 	return err
 }
@@ -117,7 +121,7 @@
 }
 
 // readFrame reads a length prefix and decodes the message after it into v.
-func readFrame(r *bufio.Reader, v any) error {
+func readFrame(r *bufio.Reader, v any, reserved *reservation) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
@@ -125,6 +129,11 @@
 	if size > maxFrameBytes {
 		return errFrameTooLarge
 	}
+	release, err := reserved.take(size)
+	if err != nil {
+		return err
+	}
+	defer release()
 	buf := make([]byte, size)
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return err
