server/forward: reserve the bytes that an entry buffers, close stalled callers

Cause: readBody buffers up to 8 MiB a request in a doubling buffer, and nothing bounds the sum. Change: the adapter of coord/memquota. Bodies are read into fixed buffers that are reserved one after the other; heads, events above 4 KiB, histories, relays and messages of other VMs are reserved as well; all is released when the request ends, also by a panic. A lack of memory is 503 before the request was sent and 502 afterwards; a target that exceeds its share or a limit has a broken response. A caller that reads nothing for 5 s is closed, and socket buffers are bounded, so that a target is read no faster than the caller reads. Settings vm.buffer_quota_mb and callers.stall_timeout_ms; both have defaults. Tests: readEvent takes the reservation in FuzzReadEvent; startEntryWith is split, and serves through Entry.Listener. With a quota without bound, TestEndlessTargetBesideOthers fails and with a stall timeout of an hour TestStalledCaller does not end.

--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -130,7 +130,9 @@
 	}
 	// Writes to an xxhash digest never fail.
 	_, _ = d.WriteString(organisation + "\n" + x.request.Method + " " + x.request.RequestURI + "\n")
-	_, _ = d.Write(x.body)
+	for _, part := range x.body {
+		_, _ = d.Write(part)
+	}
 	return max(d.Sum64(), 1)
 }
 
--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -32,8 +32,10 @@
 	// maxResponsesRead bounds the responses that are read from a connection in search
 	// of the response to one request.
 	maxResponsesRead = 4
-	// maxHeadBytes bounds the status line and the headers of one response.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the status line and the headers of one response. They are reserved
+	// in steps of headStepBytes.
+	maxHeadBytes  = 64 << 10
+	headStepBytes = 4 << 10
 	// maxDiscardBytes and discardTimeout bound the rest of a response that is read only to
 	// keep its connection.
 	maxDiscardBytes = 64 << 10
@@ -64,7 +66,10 @@
 type headLimiter struct {
 	source  io.Reader
 	limited bool
-	left    int
+	// left is the number of bytes that may be read, and more the number that may be added to
+	// it, in steps that are reserved.
+	left, more int
+	reserve    func(n int) error
 }
 
 // Read returns errHeadTooLarge once the limit is reached.
@@ -73,7 +78,14 @@
 		return l.source.Read(p)
 	}
 	if l.left <= 0 {
-		return 0, errHeadTooLarge
+		if l.more <= 0 {
+			return 0, errHeadTooLarge
+		}
+		step := min(l.more, headStepBytes)
+		if err := l.reserve(step); err != nil {
+			return 0, err
+		}
+		l.left, l.more = step, l.more-step
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
@@ -109,7 +121,7 @@
 
 // connectTCP connects to a target.
 func connectTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(tcpUserTimeout)}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.All(sockopt.UserTimeout(tcpUserTimeout), sockopt.ReceiveBuffer(targetReceiveBufferBytes))}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
@@ -161,7 +173,8 @@
 	uri    string
 	host   string
 	header http.Header
-	body   []byte
+	// body is the body in parts, which are sent one after the other.
+	body net.Buffers
 }
 
 // send writes the request. Unless the error wraps errNotSent, a request that failed
@@ -169,16 +182,19 @@
 func (c *conn) send(r *targetRequest) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.uri, r.host)
-	if len(r.body) > 0 || r.method == http.MethodPost || r.method == http.MethodPut || r.method == http.MethodPatch {
-		r.header.Set("Content-Length", strconv.Itoa(len(r.body)))
+	bodyBytes := size(r.body)
+	if bodyBytes > 0 || r.method == http.MethodPost || r.method == http.MethodPut || r.method == http.MethodPatch {
+		r.header.Set("Content-Length", strconv.Itoa(bodyBytes))
 	}
 	if err := r.header.Write(&head); err != nil {
 		return fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	head.WriteString("\r\n")
 	c.writeDone, c.writeErr = nil, nil
-	if len(r.body) <= maxInlineBodyBytes {
-		head.Write(r.body)
+	if bodyBytes <= maxInlineBodyBytes {
+		for _, part := range r.body {
+			head.Write(part)
+		}
 		_, err := c.Write(head.Bytes())
 		return err
 	}
@@ -186,7 +202,8 @@
 	c.writeDone = done
 	go func() {
 		defer close(done)
-		_, c.writeErr = (&net.Buffers{head.Bytes(), r.body}).WriteTo(c.Conn)
+		message := append(net.Buffers{head.Bytes()}, r.body...)
+		_, c.writeErr = message.WriteTo(c.Conn)
 	}()
 	return nil
 }
@@ -194,8 +211,11 @@
 // receive reads the response to the request. It discards informational responses and
 // responses that carry the id of another request. A response without an id is taken for that
 // to this request only if it is the first one on the connection: it may be a second copy of
-// an earlier one.
-func (c *conn) receive(r *targetRequest, codec HeaderCodec) (*http.Response, ResponseInfo, error) {
+// an earlier one. Heads of more than headStepBytes are reserved.
+func (c *conn) receive(r *targetRequest, codec HeaderCodec, reserve func(n int) error) (*http.Response, ResponseInfo, error) {
+	c.limiter.reserve = reserve
+	// A connection that is kept must not keep the request.
+	defer func() { c.limiter.reserve = nil }()
 	request := &http.Request{Method: r.method}
 	for range maxResponsesRead {
 		response, err := c.readHead(request)
@@ -226,7 +246,7 @@
 
 // readHead reads the status line and the headers of the next response.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	c.limiter.limited, c.limiter.left = true, maxHeadBytes
+	c.limiter.limited, c.limiter.left, c.limiter.more = true, headStepBytes, maxHeadBytes-headStepBytes
 	defer func() { c.limiter.limited = false }()
 	return http.ReadResponse(c.reader, request)
 }
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -279,6 +279,27 @@
 
 func startEntryWith(t *testing.T, l *testLedger, current bool, h *testHistories) *httptest.Server {
 	t.Helper()
+	return startServer(t, New(testOptions(l, current, h)))
+}
+
+// startEntryFor starts an entry that admits requests with the given ledger.
+func startEntryFor(t testing.TB, l Ledger) *httptest.Server {
+	t.Helper()
+	return startServer(t, New(testOptions(l, true, newTestHistories())))
+}
+
+// startServer starts a server for an entry.
+func startServer(t testing.TB, e *Entry) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(e)
+	server.Listener = e.Listener(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// testOptions returns the options of an entry with a route of each kind.
+func testOptions(l Ledger, current bool, h *testHistories) Options {
 	destination := []routing.Destination{{Service: "plain", Weight: 1}}
 	engine := []routing.Destination{{Service: "engine", Weight: 1}}
 	table := routing.NewTable(routing.Configuration{
@@ -298,16 +319,13 @@
 	view := &registry.View{Table: table, Targets: []catalog.Target{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	e := New(Options{
+	return Options{
 		View: func() *registry.View { return view }, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
 		Ledger: l, Histories: h, HistoryCopies: 2, HeaderCodec: testCodec{},
 		HistoryStores: func() []history.Store {
 			return []history.Store{{Storage: "a", Address: "a:1", DataCentre: "x"}, {Storage: "b", Address: "b:1", DataCentre: "y"}, {Storage: "c", Address: "c:1", DataCentre: "z"}}
 		}, Log: logrus.NewEntry(log), Metrics: gometrics.NewRegistry(),
-	})
-	server := httptest.NewServer(e)
-	t.Cleanup(server.Close)
-	return server
+	}
 }
 
 // post sends a request with the id r and the key k, which headers may override, and
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -14,9 +14,12 @@
 //     durable.
 //   - The end of a turn on a route that keeps histories is sent only once the turn is
 //     stored on enough disks.
+//   - The bytes that are buffered on behalf of others are reserved before they are read, and
+//     released when the request ends at the latest.
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -32,6 +35,7 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/coord/memquota"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	ledgerhost "hemlockvale.dev/server/ledger"
@@ -114,6 +118,10 @@
 	// OnIsolation is called, in order, when this VM has lost the links to all targets, and when
 	// it has them back. It must not block; it may be nil.
 	OnIsolation func(isolated bool)
+	// MemoryQuota bounds the bytes that are buffered on behalf of others; 0 for the default.
+	MemoryQuota int64
+	// StallTimeout is how long a caller may leave a response unread; 0 for the default.
+	StallTimeout time.Duration
 	// Log receives one line for each request.
 	Log *logrus.Entry
 	// Metrics receives request counters and latencies.
@@ -125,6 +133,7 @@
 	options Options
 	pool    *connPool
 	paths   *paths
+	memory  *memory
 	peers   peers
 	leaving leavingTargets
 	active  atomic.Int64
@@ -140,6 +149,7 @@
 func New(options Options) *Entry {
 	e := &Entry{options: options, pool: newConnPool(options.Connect)}
 	e.paths = newPaths(e)
+	e.memory = newMemory(cmp.Or(options.MemoryQuota, memquota.Total(0)), options.Log, options.Metrics)
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	gometrics.NewRegisteredFunctionalGauge("forward_active", options.Metrics, e.active.Load)
 	gometrics.NewRegisteredFunctionalGauge("forward_connections_opened", options.Metrics, e.pool.opened.Load)
@@ -167,8 +177,10 @@
 	organisation *routing.Organisation
 	writer       http.ResponseWriter
 	request      *http.Request
-	body         []byte
-	ctx          context.Context
+	body         net.Buffers
+	// held are the bytes that are buffered for the request.
+	held holdings
+	ctx  context.Context
 	// startedAt and deadline are times of bootclock.
 	startedAt time.Duration
 	deadline  time.Duration
@@ -211,6 +223,8 @@
 	history  turnHistory
 	// responseStarted is set once the caller has been sent a target's status and headers.
 	responseStarted bool
+	// callerStalled is set once the caller's connection is closed because it does not read.
+	callerStalled bool
 }
 
 // ServeHTTP serves one request of a caller.
@@ -224,6 +238,8 @@
 		x.startedAt -= x.offer.Elapsed
 		x.attempt, x.mayHaveRun = x.offer.Attempt, x.offer.Runs > 0
 	}
+	x.initHoldings()
+	defer x.releaseHoldings()
 	defer x.finish()
 	if !x.prepare() {
 		return
--- a/server/forward/fuzz_test.go
+++ b/server/forward/fuzz_test.go
@@ -15,7 +15,7 @@
 		r := bufio.NewReader(bytes.NewReader(data))
 		var whole []byte
 		for {
-			e, err := readEvent(r)
+			e, err := readEvent(r, func(int) error { return nil })
 			if err != nil {
 				break
 			}
--- a/server/forward/history.go
+++ b/server/forward/history.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -43,6 +44,8 @@
 	holders []string
 	// output is the data of each event that the target sent, each followed by a line feed.
 	output []byte
+	// outputReserved is the number of bytes that are reserved for output.
+	outputReserved int
 	// plan is set while the turn is running, once its target has started to respond.
 	plan *keepPlan
 }
@@ -88,9 +91,12 @@
 	holders, absent := history.Resolve(x.entry.options.HistoryStores(), grant.Holders)
 	x.preferNear(holders)
 	content, source, err := x.entry.options.Histories.Read(x.ctx, t, holders)
-	if err == nil && len(content)+len(x.body) > historystore.MaxContentBytes {
+	if err == nil && len(content)+size(x.body) > historystore.MaxContentBytes {
 		err = errHistoryTooLarge
 	}
+	if err == nil {
+		err = x.reserveHistory(len(content))
+	}
 	fields := logrus.Fields{"event": "history_read", "request": x.call.ID, "turn": t.String(), "source": source, "bytes": len(content), "took_ms": milliseconds(bootclock.Now() - start)}
 	if err == nil {
 		x.history.loaded, x.history.base, x.history.holders = true, content, grant.Holders
@@ -103,9 +109,11 @@
 	x.reportDone(grant.Target, dispatch.Abandoned, true)
 	switch {
 	case x.request.Context().Err() != nil:
-		x.abort("caller_left")
+		x.abort(x.callerLostReason())
 	case errors.Is(err, errHistoryTooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, "history_too_large", 0)
+	case errors.Is(err, errMemory):
+		x.respondError(http.StatusServiceUnavailable, reasonMemory, unavailableRetryAfter)
 	default:
 		x.respondError(http.StatusServiceUnavailable, "history_unavailable", unavailableRetryAfter)
 	}
@@ -125,20 +133,28 @@
 
 // targetBody returns the body for the target: the history of the previous turn, if any,
 // followed by the body of the caller.
-func (x *exchange) targetBody() []byte {
+func (x *exchange) targetBody() net.Buffers {
 	if len(x.history.base) == 0 {
 		return x.body
 	}
-	body := make([]byte, 0, len(x.history.base)+len(x.body))
-	body = append(body, x.history.base...)
-	return append(body, x.body...)
+	return append(net.Buffers{x.history.base}, x.body...)
 }
 
-// recordOutput adds an event to the output of the turn.
-func (x *exchange) recordOutput(e event) {
-	if x.route.KeepsHistory && e.hasData {
-		x.history.output = append(append(x.history.output, e.data...), '\n')
+// recordOutput adds an event to the output of the turn. The output is reserved in steps that
+// double, as its buffer grows.
+func (x *exchange) recordOutput(e event) error {
+	if !x.route.KeepsHistory || !e.hasData {
+		return nil
+	}
+	for len(x.history.output)+len(e.data)+1 > x.history.outputReserved {
+		step := max(x.history.outputReserved, firstStepBytes)
+		if err := x.reserveHistory(step); err != nil {
+			return err
+		}
+		x.history.outputReserved += step
 	}
+	x.history.output = append(append(x.history.output, e.data...), '\n')
+	return nil
 }
 
 // finishTurn keeps a turn that its target has completed. If that fails, the caller must
@@ -156,13 +172,17 @@
 // The end of the response must not be sent if it fails.
 func (x *exchange) keepTurn() error {
 	start := bootclock.Now()
-	content := append(x.targetBody(), x.history.output...)
-	if len(content) > historystore.MaxContentBytes {
+	parts := append(slices.Clip(x.targetBody()), x.history.output)
+	if size(parts) > historystore.MaxContentBytes {
 		return errHistoryTooLarge
 	}
+	if err := x.reserveHistory(size(parts)); err != nil {
+		return err
+	}
+	content := join(parts)
 	draft := x.newDraft(content)
 	if x.history.plan != nil && x.history.plan.staged {
-		draft.StagedBytes = len(x.history.base) + len(x.body)
+		draft.StagedBytes = len(x.history.base) + size(x.body)
 	}
 	var holders []string
 	err := historystore.ErrUnavailable
@@ -203,9 +223,14 @@
 		// keepTurn tries again and reports the error.
 		return
 	}
-	plan.staged = true
 	x.history.plan = plan
-	go x.stage(x.newDraft(x.targetBody()), plan.candidates[:x.entry.options.HistoryCopies])
+	known := x.targetBody()
+	if len(known) > 1 && x.reserveHistory(size(known)) != nil {
+		// Without memory for a copy, the whole record follows at the end of the turn.
+		return
+	}
+	plan.staged = true
+	go x.stage(x.newDraft(join(known)), plan.candidates[:x.entry.options.HistoryCopies])
 }
 
 // stage sends the known part of the record to store VMs. If that fails, the end of the turn
--- a/server/forward/prepare.go
+++ b/server/forward/prepare.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -112,9 +112,14 @@
 	if x.request.ContentLength > limit {
 		return x.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	}
+	if !x.reserveRequest() {
+		return false
+	}
 	body, err := x.readBodyInTime(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemory):
+		return x.respondError(http.StatusServiceUnavailable, reasonMemory, unavailableRetryAfter)
 	case errors.As(err, &tooLarge):
 		return x.respondError(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -127,7 +132,7 @@
 }
 
 // readBodyInTime reads a body of at most limit bytes until the request's deadline.
-func (x *exchange) readBodyInTime(limit int64) ([]byte, error) {
+func (x *exchange) readBodyInTime(limit int64) (net.Buffers, error) {
 	if x.request.ContentLength == 0 {
 		return nil, nil
 	}
@@ -135,7 +140,8 @@
 	if err := controller.SetReadDeadline(time.Now().Add(x.timeLeft())); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	reserve := func(n int) error { return x.entry.memory.reserve(x.request.Context(), &x.held.request, n) }
+	body, err := readSteps(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit, reserve)
 	if err != nil {
 		return nil, err
 	}
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -76,7 +76,7 @@
 		// The other entry may have passed the request on to a target.
 		x.mayHaveRun = true
 		if x.request.Context().Err() != nil {
-			x.abort("caller_left")
+			x.abort(x.callerLostReason())
 		} else {
 			x.failRequest()
 		}
@@ -120,7 +120,8 @@
 	if err := c.send(out); err != nil {
 		return err
 	}
-	response, _, err := c.receive(out, x.entry.options.HeaderCodec)
+	x.expectResponse("")
+	response, _, err := c.receive(out, x.entry.options.HeaderCodec, x.reserveResponse)
 	if err != nil {
 		return errors.Join(errEntryLost, err)
 	}
@@ -128,13 +129,13 @@
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
 		return x.copyEvents(response)
 	}
-	body, err := readBody(response)
+	body, err := x.readResponse(response)
 	if err != nil {
 		return errors.Join(errEntryLost, err)
 	}
 	x.writeHeader(response)
-	if _, err := x.writer.Write(body); err != nil {
-		x.record.reason = "caller_left"
+	if err := x.writeResponse(body); err != nil {
+		x.noteCallerLost(err)
 	}
 	return nil
 }
@@ -144,7 +145,8 @@
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
 	controller := http.NewResponseController(x.writer)
 	for {
-		e, err := readEvent(reader)
+		x.releaseEvent()
+		e, err := readEvent(reader, x.reserveEvent)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return errors.Join(errEntryLost, err)
 		}
@@ -155,10 +157,7 @@
 			return nil
 		}
 		x.events++
-		if _, err := x.writer.Write(e.raw); err != nil {
-			return err
-		}
-		if err := controller.Flush(); err != nil {
+		if err := x.writeEvent(controller, e); err != nil {
 			return err
 		}
 	}
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -1,11 +1,10 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -79,7 +78,7 @@
 func (x *exchange) handleContextDone(grant ledgerhost.AdmitResponse) bool {
 	x.reportDone(grant.Target, dispatch.Abandoned, true)
 	if x.request.Context().Err() != nil {
-		x.abort("caller_left")
+		x.abort(x.callerLostReason())
 		return false
 	}
 	x.failRequest()
@@ -135,6 +134,7 @@
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
 	x.granted = grant
+	x.expectResponse(grant.Target)
 	out := x.newTargetRequest(grant)
 	x.record.sends++
 	if err = c.send(out); errors.Is(err, errNotSent) {
@@ -147,12 +147,13 @@
 		x.mayHaveRun = true
 		return dispatch.Broken, info, false, err
 	}
-	response, info, err := c.receive(out, x.entry.options.HeaderCodec)
+	response, info, err := c.receive(out, x.entry.options.HeaderCodec, x.reserveResponse)
 	if err != nil || !info.NotRun {
 		x.mayHaveRun = true
 	}
 	if err != nil {
-		return dispatch.Broken, info, false, err
+		x.countClosed(err)
+		return lostResult(err), info, false, err
 	}
 	x.entry.paths.end(w)
 	x.entry.paths.heard(grant.Target)
@@ -255,17 +256,17 @@
 
 // relayBody reads the whole response before it sends any of it to the caller.
 func (x *exchange) relayBody(response *http.Response) (dispatch.Result, error) {
-	body, err := readBody(response)
+	body, err := x.readResponse(response)
 	if err != nil {
-		return dispatch.Broken, err
+		x.countClosed(err)
+		return lostResult(err), err
 	}
 	if x.responseStarted {
 		return dispatch.Broken, errors.New("target did not continue the stream")
 	}
 	x.writeHeader(response)
-	_, err = x.writer.Write(body)
-	if err != nil {
-		x.record.reason = "caller_left"
+	if err := x.writeResponse(body); err != nil {
+		x.noteCallerLost(err)
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return dispatch.Failed, nil
@@ -273,26 +274,27 @@
 	return dispatch.Completed, nil
 }
 
-// errBodyTooLarge is returned for a response whose body exceeds maxResponseBytes.
-var errBodyTooLarge = errors.New("response body is too large")
-
-// readBody reads the body of a response. A body of stated length is read into one buffer,
-// because the buffers of a growing one cost several times its size.
-func readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxResponseBytes {
-		return nil, errBodyTooLarge
-	}
-	var body bytes.Buffer
-	if response.ContentLength > 0 {
-		body.Grow(int(response.ContentLength) + bytes.MinRead)
-	}
-	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxResponseBytes+1)); err != nil {
-		return nil, err
+// readResponse reads the body of a response.
+func (x *exchange) readResponse(response *http.Response) (net.Buffers, error) {
+	if response.ContentLength == 0 {
+		return nil, nil
 	}
-	if body.Len() > maxResponseBytes {
-		return nil, errBodyTooLarge
+	return readSteps(response.Body, response.ContentLength, maxResponseBytes, x.reserveResponse)
+}
+
+// writeResponse writes a body to the caller. The bytes of a long body are released as the
+// caller reads.
+func (x *exchange) writeResponse(body net.Buffers) error {
+	for i, part := range body {
+		if _, err := x.writer.Write(part); err != nil {
+			return err
+		}
+		body[i] = nil
+		if len(body) > 1 {
+			x.entry.memory.release(&x.held.response, int64(cap(part)))
+		}
 	}
-	return body.Bytes(), nil
+	return nil
 }
 
 // writeHeader sends the status and the headers of the first response to the caller.
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -15,8 +15,16 @@
 // heardInterval is the time after which an event counts again as a sign of its target.
 const heardInterval = 200 * time.Millisecond
 
-// maxEventBytes bounds the encoded size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the encoded size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// smallEventBytes is the size up to which an event needs no reservation: it is a part of
+	// exchangeBytes, so that no event of usual size costs one.
+	smallEventBytes = 4 << 10
+	// eventCopies is the number of times that an event is held: as it was read, and the values
+	// of its data fields.
+	eventCopies = 2
+)
 
 // event is one server-sent event, including the empty line that ends it.
 type event struct {
@@ -31,12 +39,14 @@
 var errEventTooLarge = errors.New("event is too large")
 
 // readEvent reads one whole event. It returns io.EOF if the stream ends between two
-// events, and io.ErrUnexpectedEOF if it ends inside of one.
-func readEvent(r *bufio.Reader) (event, error) {
+// events, and io.ErrUnexpectedEOF if it ends inside of one. Events of more than
+// smallEventBytes are reserved.
+func readEvent(r *bufio.Reader, reserve func(n int) error) (event, error) {
 	var e event
+	reserved := smallEventBytes
 	for {
 		start := len(e.raw)
-		if err := e.appendLine(r); err != nil {
+		if err := e.appendLine(r, &reserved, reserve); err != nil {
 			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
@@ -71,9 +81,16 @@
 
 // appendLine reads one line with its ending. The event stays below maxEventBytes even if
 // the line never ends.
-func (e *event) appendLine(r *bufio.Reader) error {
+func (e *event) appendLine(r *bufio.Reader, reserved *int, reserve func(n int) error) error {
 	for {
 		part, err := r.ReadSlice('\n')
+		if len(e.raw)+len(part) > *reserved && *reserved < maxEventBytes {
+			// The buffer is doubled as well, and the values of the data fields are a copy.
+			if err := reserve(eventCopies * *reserved); err != nil {
+				return err
+			}
+			*reserved *= 2
+		}
 		e.raw = append(e.raw, part...)
 		if len(e.raw) > maxEventBytes {
 			return errEventTooLarge
@@ -87,11 +104,13 @@
 // relayStream relays each event to the caller as it arrives, except those that the
 // caller already has.
 func (x *exchange) relayStream(response *http.Response) (dispatch.Result, error) {
+	defer x.releaseEvent()
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
 	controller := http.NewResponseController(x.writer)
 	heardAt := time.Now()
 	for {
-		e, err := readEvent(reader)
+		x.releaseEvent()
+		e, err := readEvent(reader, x.reserveEvent)
 		if errors.Is(err, io.EOF) {
 			if !x.responseStarted {
 				x.writeHeader(response)
@@ -99,7 +118,8 @@
 			return dispatch.Completed, nil
 		}
 		if err != nil {
-			return dispatch.Broken, err
+			x.countClosed(err)
+			return lostResult(err), err
 		}
 		if time.Since(heardAt) > heardInterval {
 			heardAt = time.Now()
@@ -118,7 +138,9 @@
 		if x.origin == nil {
 			x.origin = &dispatch.Origin{Service: x.service.Name, Software: x.granted.Software}
 		}
-		x.recordOutput(e)
+		if err := x.recordOutput(e); err != nil {
+			return lostResult(err), err
+		}
 		if e.id != "" {
 			x.lastEventID = e.id
 		}
@@ -128,15 +150,25 @@
 		if e.hasData {
 			x.events++
 		}
-		if _, err := x.writer.Write(e.raw); err != nil {
-			return dispatch.Abandoned, err
-		}
-		if err := controller.Flush(); err != nil {
+		if err := x.writeEvent(controller, e); err != nil {
 			return dispatch.Abandoned, err
 		}
 	}
 }
 
+// writeEvent writes an event to the caller. It waits until the caller reads, so that the target
+// is not read faster.
+func (x *exchange) writeEvent(controller *http.ResponseController, e event) error {
+	_, err := x.writer.Write(e.raw)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		x.noteCallerLost(err)
+	}
+	return err
+}
+
 // isDuplicate reports whether the event has been read before.
 func (x *exchange) isDuplicate(e event) bool { return notAfter(e.id, x.lastEventID) }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -19,6 +19,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/memquota"
 	"hemlockvale.dev/server/forward"
 	"hemlockvale.dev/server/graceful"
 	"hemlockvale.dev/server/metrics"
@@ -99,8 +100,8 @@
 		metrics: gometrics.NewRegistry(), failures: make(chan error, 8),
 	}
 	p.current.Store(&o.Settings)
-	if mb := o.Settings.VM.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryLimitFraction))
+	if limit := memoryLimit(o.Settings.VM.MemoryMB); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	listener, err := net.Listen("tcp", cmp.Or(o.Settings.VM.RPCListen, o.Settings.VM.RPCAddress))
 	if err != nil {
@@ -127,6 +128,19 @@
 	return errors.Join(err, p.rpc.Close(), p.pool.Close())
 }
 
+// memoryLimit returns the soft memory limit of the Go runtime for vm.memory_mb; 0 means none.
+func memoryLimit(memoryMB int64) int64 {
+	return int64(float64(memoryMB<<20) * memoryLimitFraction)
+}
+
+// memoryQuota returns the bytes that an entry may buffer on behalf of others.
+func memoryQuota(vm settings.NodeVM) int64 {
+	if vm.BufferQuotaMB > 0 {
+		return vm.BufferQuotaMB << 20
+	}
+	return memquota.Total(vm.MemoryMB << 20)
+}
+
 // startTask runs a background task in its own goroutine. An error of the task ends the
 // process.
 func (p *process) startTask(name string, run func() error) {
@@ -153,22 +167,26 @@
 // serve starts an HTTP server on an address. name identifies the address in errors.
 func (p *process) serve(name, address string, h http.Handler) (*http.Server, error) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	return s, p.start(name, address, s)
+	return s, p.start(name, address, s, nil)
 }
 
-// serveGracefully is serve for a server that can be stopped without cutting requests off.
-func (p *process) serveGracefully(name, address string, h http.Handler) (*graceful.Conns, error) {
+// serveGracefully is serve for a server that can be stopped without cutting requests off. wrap
+// changes the listener; nil for none.
+func (p *process) serveGracefully(name, address string, h http.Handler, wrap func(net.Listener) net.Listener) (*graceful.Conns, error) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	conns := graceful.Track(s)
-	return conns, p.start(name, address, s)
+	return conns, p.start(name, address, s, wrap)
 }
 
 // start serves on an address until the server is closed.
-func (p *process) start(name, address string, s *http.Server) error {
+func (p *process) start(name, address string, s *http.Server, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
 	p.startTask(name, func() error {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -71,7 +71,7 @@
 		{"control.address", p.Settings.Control.Address, p.Adapter.Control(reg, p.Log)},
 		{"control.directory_address", p.Settings.Control.DirectoryAddress, p.Adapter.Directory(reg, p.Log)},
 	} {
-		server, err := p.serveGracefully(s.name, s.address, s.handler)
+		server, err := p.serveGracefully(s.name, s.address, s.handler, nil)
 		if err != nil {
 			return errors.Join(err, q.Close())
 		}
@@ -222,21 +222,26 @@
 	go follower.Run(taskCtx)
 	client := ledger.NewClient(ledger.ClientOptions{Leader: follower.StoreLeader, Stores: follower.Stores, Log: p.Log})
 	go client.Run(taskCtx)
+	histories := history.NewClient()
 	e := forward.New(forward.Options{
-		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
+		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: histories,
 		HistoryStores: follower.HistoryStores, HistoryCopies: p.historyCopies(), HeaderCodec: p.Adapter.HeaderCodec(),
 		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stop: stopping.Load,
 		OnIsolation: func(lost bool) {
 			isolated.Store(lost)
 			go follower.Report(taskCtx)
 		},
+		MemoryQuota: memoryQuota(p.Settings.VM), StallTimeout: p.Settings.Callers.StallTimeout(),
 		Log: p.Log, Metrics: p.metrics,
 	})
+	histories.Reserve = e.ReservePeer
+	p.rpc.SetReserve(e.ReservePeer)
+	p.pool.SetReserve(e.ReservePeer)
 	go e.Run(taskCtx)
 	relays := relay.NewServer(e, e.AcceptRelay, p.Log)
 	p.startTask("relay_server", relays.Serve)
 	p.rpc.HandleConn(relay.Preface, relays.HandleConn)
-	callers, err := p.serveGracefully("callers.address", p.Settings.Callers.Address, e)
+	callers, err := p.serveGracefully("callers.address", p.Settings.Callers.Address, e, e.Listener)
 	if err != nil {
 		return err
 	}
--- a/server/progress/progress.go
+++ b/server/progress/progress.go
@@ -98,6 +98,15 @@
 	}
 }
 
+// CloseWrite ends the writing side, so that a peer that still sends can read the last response.
+// net/http uses it if it is there.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // reset closes the connection and drops the bytes that the kernel still holds for the peer.
 func (c *Conn) reset() error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/server/relay/server.go
+++ b/server/relay/server.go
@@ -12,11 +12,16 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/server/graceful"
+	"hemlockvale.dev/server/progress"
 )
 
 // readHeaderTimeout bounds the time until the head of an accepted request has arrived.
 const readHeaderTimeout = time.Second
 
+// stallTimeout is how long the other entry may leave a response unread. It exceeds the time after
+// which that entry closes the connection of a caller that does not read.
+const stallTimeout = 10 * time.Second
+
 // Server takes the requests that other entries offer.
 type Server struct {
 	accept func(Offer) error
@@ -56,7 +61,7 @@
 		conn.Close()
 		return
 	}
-	s.queue.add(&offeredConn{conn, o})
+	s.queue.add(&offeredConn{progress.NewConn(conn, stallTimeout, nil), o})
 }
 
 // answer reads an offer and responds to it. It returns an error if the offer is declined or
--- a/server/settings/node.go
+++ b/server/settings/node.go
@@ -56,6 +56,9 @@
 	// MemoryMB is the memory in MiB that the process may use, from which the memory limit
 	// of the Go runtime is derived; 0 means no limit.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// BufferQuotaMB bounds the bytes in MiB that an entry buffers on behalf of callers, targets
+	// and other VMs; 0 means that it is derived from MemoryMB.
+	BufferQuotaMB int64 `json:"buffer_quota_mb,omitempty"`
 }
 
 // Formation configures how the VMs find each other, the first start of the deployment and
@@ -84,6 +87,9 @@
 	AddressLifetimeMS int64 `json:"address_lifetime_ms"`
 	// StopGraceMS is the maximum duration of a planned stop in milliseconds.
 	StopGraceMS int64 `json:"stop_grace_ms"`
+	// StallTimeoutMS is how long in milliseconds a caller may leave a response unread before an
+	// entry closes its connection.
+	StallTimeoutMS int64 `json:"stall_timeout_ms"`
 }
 
 // AddressLifetime returns AddressLifetimeMS as a duration.
@@ -92,6 +98,9 @@
 // StopGrace returns StopGraceMS as a duration.
 func (c Callers) StopGrace() time.Duration { return milliseconds(c.StopGraceMS) }
 
+// StallTimeout returns StallTimeoutMS as a duration.
+func (c Callers) StallTimeout() time.Duration { return milliseconds(c.StallTimeoutMS) }
+
 // NodeControl configures a control VM.
 type NodeControl struct {
 	// Address is the IP:port to which targets and operators connect.
@@ -120,7 +129,7 @@
 func defaultNode() Node {
 	return Node{
 		Formation: Formation{TolerateLosses: 1},
-		Callers:   Callers{AddressLifetimeMS: 500, StopGraceMS: 8000},
+		Callers:   Callers{AddressLifetimeMS: 500, StopGraceMS: 8000, StallTimeoutMS: 5000},
 		Log:       Log{Level: "info"},
 	}
 }
@@ -180,6 +189,13 @@
 	}
 }
 
+// checkNotNegative reports a value that is negative.
+func (c *nodeValidator) checkNotNegative(path string, value int64) {
+	if value < 0 {
+		c.report(path, "must not be negative")
+	}
+}
+
 // check validates the settings after decoding.
 func (n Node) check(positions positionIndex) Findings {
 	c := &nodeValidator{positions: positions}
@@ -225,4 +241,7 @@
 	}
 	c.checkPositive("callers.address_lifetime_ms", n.Callers.AddressLifetimeMS)
 	c.checkPositive("callers.stop_grace_ms", n.Callers.StopGraceMS)
+	c.checkPositive("callers.stall_timeout_ms", n.Callers.StallTimeoutMS)
+	c.checkNotNegative("vm.memory_mb", n.VM.MemoryMB)
+	c.checkNotNegative("vm.buffer_quota_mb", n.VM.BufferQuotaMB)
 }
--- a/server/settings/node_test.go
+++ b/server/settings/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -30,6 +31,16 @@
 	}
 	assert.Equal(t, []string{"vm.id", "vm.rpc_address", "formation.seeds", "callers.ready_address"}, paths)
 
+	assert.Equal(t, 5*time.Second, n.Callers.StallTimeout())
+
+	negative := strings.NewReplacer(`"region"`, `"memory_mb": -1, "buffer_quota_mb": -1, "region"`, `"ready_address"`, `"stall_timeout_ms": 0, "ready_address"`).Replace(entrySettings)
+	_, findings = ParseNode([]byte(negative))
+	paths = nil
+	for _, f := range findings {
+		paths = append(paths, f.Path)
+	}
+	assert.ElementsMatch(t, []string{"vm.memory_mb", "vm.buffer_quota_mb", "callers.stall_timeout_ms"}, paths)
+
 	for name, change := range map[string][2]string{
 		"control without data_dir": {`"entry"`, `"control"`},
 		"unknown role":             {`"entry"`, `"other"`},
