--- a/server/progress/progress.go
+++ b/server/progress/progress.go
@@ -64,17 +64,9 @@
 
 // Write writes p. It waits for as long as the peer reads.
 func (c *Conn) Write(p []byte) (int, error) {
-	var (
-		written  int
-		progress time.Time
-		unacked  = -1
-	)
-	for {
-		now := time.Now()
-		if progress.IsZero() {
-			progress = now
-		}
-		if err := c.Conn.SetWriteDeadline(now.Add(c.timeout / checksPerTimeout)); err != nil {
+	written, unacked := 0, -1
+	for idleChecks := 0; ; {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.timeout / checksPerTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
@@ -85,10 +77,12 @@
 		// Bytes that the peer has acknowledged count as well as those that the kernel took.
 		left := c.unacknowledged()
 		if n > 0 || left != unacked {
-			progress, unacked = time.Now(), left
+			idleChecks, unacked = 0, left
 			continue
 		}
-		if time.Since(progress) < c.timeout {
+		// Checks are counted instead of the time, so that a process that was suspended does not
+		// take its own absence for that of the peer.
+		if idleChecks++; idleChecks < checksPerTimeout {
 			continue
 		}
 		if c.onStall != nil {
