--- a/server/forward/memory_test.go
+++ b/server/forward/memory_test.go
@@ -137,6 +137,10 @@
 	e, server := startMemoryEntry(t, l)
 	// exhaust holds all that holdings of at least the given size can hold.
 	exhaust := func(c memquota.Class, first, least int64) func() {
+		// A request releases its bytes after its response.
+		require.Eventually(t, func() bool { return e.Active() == 0 }, endTime, time.Millisecond)
+		e.memory.mu.Lock()
+		defer e.memory.mu.Unlock()
 		var all []*memquota.Holding
 		for n := first; n >= least; n /= 2 {
 			h := &memquota.Holding{Class: c}
