Entry: send nothing to a target that its own catalog lists as draining or gone

Cause: the leader of the store group grants from its copy of the catalog. In a partition it may keep its lease while its half holds only a minority of the control VMs, so that it misses a deregistration. Entries reach both halves and have the newer catalog, but did not compare a grant with it.

Change: the leader states the revision of its catalog before grants, in a message of its own that earlier releases ignore. A target that is missing in a view which is at least as new as the leader's has left; in an older view it may be new. A declined grant ends as dispatch.Leaving and makes the target suspect for the dispatcher, so that not every request is granted there first.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -209,6 +209,19 @@
 	assert.Equal(t, "t1", d.Admit(minSuspectTime, again).Target, "the target is no longer suspect")
 }
 
+// TestDeclinedTargetIsAvoided guards against requests that are all granted first at a target
+// which the sending VMs decline because their catalogs are newer: it always has free slots.
+func TestDeclinedTargetIsAvoided(t *testing.T) {
+	d := New(0, 1)
+	d.SetTargets(0, targets(2, 4))
+	declined := d.Admit(0, request("declined")).Target
+	d.Done(0, "declined", declined, Leaving, 0)
+	for i := range 4 {
+		assert.NotEqual(t, declined, d.Admit(0, request(fmt.Sprint(i))).Target)
+	}
+	assert.Equal(t, declined, d.Admit(minSuspectTime, request("later")).Target, "the other target is busy")
+}
+
 // TestLostReportAndRepeatedRequest guards against a grant that keeps its slot forever
 // because its done report was lost, and against a repeated request that is granted two
 // slots.
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -127,7 +127,9 @@
 		t.failures, t.broken, t.suspectUntil, t.completedAt = 0, 0, 0, now
 	case NotRun:
 		t.fullUntil = now + fullPause
-	case WrongTarget:
+	case WrongTarget, Leaving:
+		// The catalog from which this target was granted may be older than that of the sending
+		// VM. Until it has caught up, each grant here costs a request another placement.
 		t.markSuspect(now)
 	case Unreachable:
 		// The path of one VM may be broken while others are being served.
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -203,7 +203,7 @@
 	// targets. It says nothing about the target.
 	NoPath Result = "no_path"
 	// Leaving means that the request was not sent, because the target has stated that it
-	// leaves.
+	// leaves, or is draining or gone in the catalog of the sending VM.
 	Leaving Result = "leaving"
 	// Broken means that the answer was lost or incomplete.
 	Broken Result = "broken"
--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -83,7 +83,9 @@
 // conn is a connection to one incarnation of a target.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// address is the address of the target in the catalog.
+	address string
+	reader  *bufio.Reader
 	// limiter is the source of reader.
 	limiter *headLimiter
 	// idleUntil is the time after which an idle connection is not reused.
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,6 +90,10 @@
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
 	refuseResumes bool
+	// revision is that of the leader's catalog, as grants state it; 0 as in earlier releases.
+	revision uint64
+	// onResume is called before a stream is granted at its target again; it may be nil.
+	onResume func()
 }
 
 func (l *testLedger) ObserveRate(o ledgerhost.RateObservation) {
@@ -118,14 +124,17 @@
 		if l.refuseResumes {
 			return ledgerhost.AdmitResponse{Refusal: dispatch.NoTarget}, nil
 		}
-		return ledgerhost.AdmitResponse{Target: r.Target, Address: strings.TrimPrefix(r.Target, "t-"), Holders: l.holders}, nil
+		if l.onResume != nil {
+			l.onResume()
+		}
+		return ledgerhost.AdmitResponse{Target: r.Target, Address: strings.TrimPrefix(r.Target, "t-"), Holders: l.holders, CatalogRevision: l.revision}, nil
 	}
 	if len(l.targets) == 0 {
 		return ledgerhost.AdmitResponse{Refusal: cmp.Or(l.finalRefusal, dispatch.Overloaded), RetryAfter: time.Second}, nil
 	}
 	address := l.targets[0]
 	l.targets = l.targets[1:]
-	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit, Software: l.software, StartedUnixMS: l.started}, nil
+	return ledgerhost.AdmitResponse{Target: "t-" + address, Address: address, Holders: l.holders, RateLimit: l.rateLimit, Software: l.software, StartedUnixMS: l.started, CatalogRevision: l.revision}, nil
 }
 
 func (l *testLedger) Confirm(ctx context.Context, _ ledger.Reserve) error {
@@ -278,6 +287,38 @@
 }
 
 func startEntryWith(t *testing.T, l *testLedger, current bool, h *testHistories) *httptest.Server {
+	t.Helper()
+	return startEntryOn(t, l, current, h, &testView{})
+}
+
+// testView is the view of an entry. Tests change it while requests are in progress.
+type testView struct {
+	latest atomic.Pointer[registry.View]
+	// onConnect is called before each new connection to a target; it may be nil.
+	onConnect func(address string)
+}
+
+// set replaces the targets.
+func (v *testView) set(revision uint64, targets ...catalog.Target) {
+	slices.SortFunc(targets, func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+	v.latest.Store(&registry.View{Revision: revision, Table: v.latest.Load().Table, Targets: targets})
+}
+
+func (v *testView) connect(ctx context.Context, address string) (net.Conn, error) {
+	if v.onConnect != nil {
+		v.onConnect(address)
+	}
+	return connectTCP(ctx, address)
+}
+
+// startEntryWithView starts an entry whose view the test can change.
+func startEntryWithView(t *testing.T, l *testLedger) (*httptest.Server, *testView) {
+	t.Helper()
+	v := &testView{}
+	return startEntryOn(t, l, true, newTestHistories(), v), v
+}
+
+func startEntryOn(t *testing.T, l *testLedger, current bool, h *testHistories, v *testView) *httptest.Server {
 	t.Helper()
 	destination := []routing.Destination{{Service: "plain", Weight: 1}}
 	engine := []routing.Destination{{Service: "engine", Weight: 1}}
@@ -295,11 +336,11 @@
 		},
 		Organisations: []routing.Organisation{{Name: "o", Keys: []string{"k"}}},
 	})
-	view := &registry.View{Table: table, Targets: []catalog.Target{}}
+	v.latest.Store(&registry.View{Table: table, Targets: []catalog.Target{}})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e := New(Options{
-		View: func() *registry.View { return view }, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
+		View: v.latest.Load, Connect: v.connect, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
 		Ledger: l, Histories: h, HistoryCopies: 2, HeaderCodec: testCodec{},
 		HistoryStores: func() []history.Store {
 			return []history.Store{{Storage: "a", Address: "a:1", DataCentre: "x"}, {Storage: "b", Address: "b:1", DataCentre: "y"}, {Storage: "c", Address: "c:1", DataCentre: "z"}}
--- a/server/forward/pool.go
+++ b/server/forward/pool.go
@@ -48,7 +48,8 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
+		// A later incarnation of the target may have another address.
+		if c.address == address && time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
 			return c, nil
 		}
 		c.Close()
@@ -63,7 +64,9 @@
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	p.opened.Add(1)
-	return newConn(raw), nil
+	c := newConn(raw)
+	c.address = address
+	return c, nil
 }
 
 // hasIdle reports whether there is an idle connection to a target that it has not closed.
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -31,7 +31,7 @@
 		return true
 	}
 	for resumed := 0; ; resumed++ {
-		if x.entry.leaving.has(incarnationOf(grant)) {
+		if x.leaves(grant) {
 			// The leader does not know yet that the target leaves.
 			return x.handleFailure(grant, dispatch.Leaving)
 		}
@@ -134,6 +134,10 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
+	if x.leaves(grant) {
+		// The target has left while the history was read or the connection was opened.
+		return dispatch.Leaving, info, false, nil
+	}
 	x.granted = grant
 	out := x.newTargetRequest(grant)
 	x.record.sends++
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -39,7 +39,7 @@
 		existing.link = a.link
 		h.watchReservation(r.Reserve, a.link)
 		if existing.response != nil {
-			a.link.send(kindAdmitResponse, existing.response)
+			a.link.sendResponse(existing.response)
 		}
 		return
 	}
@@ -80,7 +80,7 @@
 		// whose path is lost is admitted again for another entry.
 		h.releaseReservation(a)
 	}
-	a.link.send(kindAdmitResponse, &r)
+	a.link.sendResponse(&r)
 	a.link.reportLoad()
 	h.countOutcome(r)
 	h.options.Log.WithFields(logrus.Fields{"event": "admission", "request": a.request.ID, "inputs": h.describe(a, &r)}).Info("admission decided")
@@ -134,8 +134,10 @@
 
 func (h *Host) response(o dispatch.Outcome) AdmitResponse {
 	r := AdmitResponse{Target: o.Target, Refusal: o.Refusal, RetryAfter: o.RetryAfter, Waited: o.Waited, Cached: o.Cached, Reason: o.Reason}
-	if t, ok := h.options.View().Target(o.Target); ok {
+	view := h.options.View()
+	if t, ok := view.Target(o.Target); ok {
 		r.Address, r.Software, r.StartedUnixMS = t.Address, t.Software, t.StartedUnixMS
+		r.CatalogRevision = view.Revision
 	}
 	if rate, ok := h.dispatcher.TargetRate(o.Target); ok {
 		r.RateLimit = &rate
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -71,6 +71,9 @@
 	// lastKeepNumber is the number of the latest call.
 	pendingKeeps   map[uint64]chan keepState
 	lastKeepNumber uint64
+	// catalogRevision is the revision of the leader's catalog for the grants that follow; 0 if
+	// it states none.
+	catalogRevision uint64
 }
 
 // dialLink connects to a store VM and returns once the VM has confirmed that it is
@@ -166,6 +169,9 @@
 		if err := compact.Unmarshal(payload, &response); err != nil {
 			return err
 		}
+		if response.Target != "" {
+			response.CatalogRevision = l.catalogRevision
+		}
 		key := admissionKey{response.ID, response.Attempt}
 		if ch := l.pendingAdmissions[key]; ch != nil {
 			delete(l.pendingAdmissions, key)
@@ -192,6 +198,12 @@
 			return err
 		}
 		l.load.set(report.RefusedShare)
+	case kindCatalogRevision:
+		var stated catalogRevision
+		if err := compact.Unmarshal(payload, &stated); err != nil {
+			return err
+		}
+		l.catalogRevision = stated.Revision
 	case kindNotLeader:
 		var n notLeader
 		if err := compact.Unmarshal(payload, &n); err != nil {
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -36,6 +36,8 @@
 	// statedShare and statedAt describe the latest load report to the entry.
 	statedShare float64
 	statedAt    time.Duration
+	// statedRevision is the revision of the latest catalogRevision message; 0 before the first.
+	statedRevision uint64
 }
 
 // served reports whether this VM is still the leader to which the entry has introduced itself.
@@ -189,6 +191,17 @@
 	}
 }
 
+// sendResponse sends the outcome of an admission. Before a grant, it states the revision of the
+// catalog if that differs from the one that the entry knows, also if it is lower: the outcome of a
+// repeated request may be older than that of another one. The caller holds h.mu.
+func (l *link) sendResponse(r *AdmitResponse) {
+	if r.CatalogRevision != 0 && r.CatalogRevision != l.statedRevision {
+		l.statedRevision = r.CatalogRevision
+		l.send(kindCatalogRevision, &catalogRevision{r.CatalogRevision})
+	}
+	l.send(kindAdmitResponse, r)
+}
+
 // handle handles a message of the entry. Pings and admissions don't wait for h.mu, which the
 // decider holds.
 func (l *link) handle(k messageKind, payload []byte) error {
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -63,6 +63,9 @@
 	// earlier release, knows the current one. Earlier releases ignore it; others close the
 	// connection.
 	kindNewRelease
+	// kindCatalogRevision states the revision of the leader's catalog for the grants that
+	// follow, before the first one and when it has changed. Earlier releases ignore it.
+	kindCatalogRevision
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
@@ -108,6 +111,16 @@
 	// RateLimit is the rate limit of the target that the leader knows, in requests per
 	// second; nil if it knows none.
 	RateLimit *float64
+	// CatalogRevision is the revision of the leader's catalog in which the target is listed; 0
+	// if the leader states none. It is not part of the message, whose length earlier releases
+	// check, but of the catalogRevision message before it.
+	CatalogRevision uint64 `msgpack:"-"`
+}
+
+// catalogRevision states the revision of the leader's catalog for the grants that follow on
+// the connection.
+type catalogRevision struct {
+	Revision uint64
 }
 
 // TargetRate reports what a target's response says about its rate limit.
