Tests of the ledger: clients read no variables that the test writes

Cause: a client searches for the leader in the background for some seconds. TestLeavingTargetsOutliveTheLeader read a variable in the same way.

--- a/server/ledger/histories_test.go
+++ b/server/ledger/histories_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,8 +38,10 @@
 func TestContinuedTurns(t *testing.T) {
 	dir := t.TempDir()
 	s := startStore(t, dir)
-	address := s.address
-	c := startClient(t, func() []string { return []string{address} })
+	// The client searches for the leader in the background while the address changes.
+	var address atomic.Value
+	address.Store(s.address)
+	c := startClient(t, func() []string { return []string{address.Load().(string)} })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	require.NoError(t, c.Keep(ctx, keepOf("first", "a", "b")))
@@ -58,7 +61,7 @@
 		assert.Zero(t, s.host.options.Machine.charged(ledger.Program{Organisation: "o", ID: "p"}))
 		s.stop()
 		s = startStore(t, dir)
-		address = s.address
+		address.Store(s.address)
 	}
 }
 
--- a/server/ledger/leaving_test.go
+++ b/server/ledger/leaving_test.go
@@ -54,7 +54,8 @@
 	dir := t.TempDir()
 	s := startStore(t, dir)
 	s.awaitLeader(t)
-	first := startClient(t, func() []string { return []string{s.address} })
+	firstAddress := s.address
+	first := startClient(t, func() []string { return []string{firstAddress} })
 	_, err := first.Admit(t.Context(), crashingRequest("first"))
 	require.NoError(t, err)
 	first.ReportLeaving(catalog.Incarnation{Target: "t"})
--- a/server/ledger/ledger_test.go
+++ b/server/ledger/ledger_test.go
@@ -126,21 +126,6 @@
 	return s
 }
 
-func startClient(t testing.TB, addresses func() []string) *Client {
-	t.Helper()
-	c := NewClient(ClientOptions{Leader: func() string { return "" }, Stores: addresses, Log: discardLogger()})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go c.Run(ctx)
-	return c
-}
-
-func turnRequest(id string, budget, tokens int64) AdmitRequest {
-	r := AdmitRequest{Reserve: &ledger.Reserve{Program: ledger.Program{Organisation: "o", ID: "p"}, Request: id, Budget: budget, Tokens: tokens}}
-	r.ID, r.Service, r.TimeLeft = id, "s", 2*time.Second
-	return r
-}
-
 // TestBudgetsAndSlotsOverTheLink guards against a store VM that loses a budget when it
 // restarts, and against a queued request that is not granted when a slot becomes free.
 func TestBudgetsAndSlotsOverTheLink(t *testing.T) {
@@ -259,17 +244,6 @@
 	assert.Len(t, known.reports(), 1)
 }
 
-// awaitLeader waits until the store admits requests. An election takes as long as the disk
-// needs for a sync.
-func (s *testStore) awaitLeader(t testing.TB) {
-	t.Helper()
-	require.Eventually(t, func() bool {
-		s.host.mu.Lock()
-		defer s.host.mu.Unlock()
-		return s.host.canAdmit()
-	}, 20*time.Second, time.Millisecond)
-}
-
 // TestNewLeaderLearnsTheOrigins guards against streams that can't be taken up after a change
 // of leader, and against a new leader that places them at any version.
 func TestNewLeaderLearnsTheOrigins(t *testing.T) {
