Control: a deregistration is decided by the leader after a read barrier

Cause: Withdraw decided by the copy of the control VM that got the call. One that had not applied the target yet acknowledged without a commit. One that knew an earlier state or an earlier incarnation committed a command that the other VMs ignored, because its sequence or its start was too old, and acknowledged as well. The target stayed listed as ready.

Change: the leader decides after a quorum has confirmed its leadership (registry.withdraw, coord/catalog Withdrawal). The command is a PutTarget as before, which earlier releases apply alike; its sequence is the highest, so that no announcement which is being committed at the same time takes its place. An incarnation that is not known is recorded as gone, because an announcement that it sent before may arrive later. A copy that shows that the incarnation has left suffices for an acknowledgement. The error code of an RPC method that the other side lacks is "method_not_found" now; the test of server/rpc expected "internal".

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"hemlockvale.dev/coord/routing"
@@ -182,6 +183,31 @@
 	return !s.superseded(t)
 }
 
+// Withdrawal returns the announcement which records that an incarnation has left, or the latest
+// one that is known if startedUnixMS is 0. It returns false if there is nothing to record. The
+// state must be current: a copy that is behind may not know the incarnation or a later
+// announcement of it.
+//
+// An incarnation that is not known is recorded as well, because an announcement that it has sent
+// before may arrive later.
+func (s *State) Withdrawal(id string, startedUnixMS int64) (Target, bool) {
+	t, known := s.Targets[id]
+	switch {
+	case known && (startedUnixMS == 0 || startedUnixMS == t.StartedUnixMS):
+	case startedUnixMS == 0 || known && startedUnixMS < t.StartedUnixMS:
+		return Target{}, false
+	default:
+		// No target has this address, so none is taken for the predecessor of this one.
+		t = Target{ID: id, StartedUnixMS: startedUnixMS, Address: "/" + id}
+	}
+	if t.State == Gone {
+		return Target{}, false
+	}
+	// No announcement is later, whichever is being committed now.
+	t.State, t.Sequence = Gone, math.MaxInt64
+	return t, true
+}
+
 // superseded reports whether a later incarnation is known at the same address.
 func (s *State) superseded(t Target) bool {
 	for _, other := range s.Targets {
--- a/coord/catalog/catalog_test.go
+++ b/coord/catalog/catalog_test.go
@@ -40,6 +40,44 @@
 	assert.False(t, s.WouldChange(target("c", 15, 1, Ready)), "a late announcement of an incarnation that started before the one at the address is ignored")
 }
 
+// TestWithdrawal guards against a target that stays listed after its deregistration: because it
+// was not known, because a later announcement of it was being committed, or because one that it
+// sent before arrives afterwards. Other targets and later incarnations stay.
+func TestWithdrawal(t *testing.T) {
+	s := New()
+	putTarget(s, 1, target("a", 10, 5, Ready))
+	withdraw := func(id string, startedUnixMS int64, meanwhile ...Target) bool {
+		left, needed := s.Withdrawal(id, startedUnixMS)
+		for _, m := range meanwhile {
+			putTarget(s, s.Revision+1, m)
+		}
+		if needed {
+			putTarget(s, s.Revision+1, left)
+		}
+		return needed
+	}
+	assert.False(t, withdraw("a", 9), "a later incarnation is known")
+	assert.Len(t, s.Live(), 1)
+	other := Target{ID: "b", StartedUnixMS: 20, Service: "s", Address: "10.0.0.1:81", State: Ready}
+	putTarget(s, 2, other)
+	for _, id := range []string{"y", "x"} {
+		assert.True(t, withdraw(id, 30+int64(len(s.Targets))))
+		assert.False(t, s.WouldChange(Target{ID: id, StartedUnixMS: 30, Service: "s", Address: "10.0.0.1:82", State: Ready, Sequence: 9}), "a delayed announcement")
+		assert.False(t, withdraw(id, 30))
+	}
+	assert.True(t, withdraw("w", 1), "one that started before others that were not known either")
+	assert.Equal(t, Gone, s.Targets["w"].State)
+	assert.False(t, withdraw("v", 0), "no incarnation is known")
+	assert.Len(t, s.Live(), 2)
+	faster := target("a", 10, 8, Ready)
+	faster.Slots++
+	assert.True(t, withdraw("a", 0, faster))
+	assert.Equal(t, []Target{other}, s.Live())
+	assert.False(t, s.WouldChange(target("a", 10, 9, Ready)))
+	assert.True(t, withdraw("b", 21), "a later incarnation that is not known yet")
+	assert.Empty(t, s.Live())
+}
+
 // TestHighestVersionWins guards against a configuration of a lower or equal version
 // that replaces the one in force.
 func TestHighestVersionWins(t *testing.T) {
--- a/coord/catalog/validate.go
+++ b/coord/catalog/validate.go
@@ -46,6 +46,11 @@
 	return errors.Join(errs...)
 }
 
+// Valid reports whether a target can have announced itself as this incarnation.
+func (i Incarnation) Valid() bool {
+	return i.Target != "" && len(i.Target) <= maxTextBytes && i.StartedUnixMS >= 0 && i.StartedUnixMS <= maxStartedUnixMS
+}
+
 // validateAddress checks a network address of the form host:port.
 func validateAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -28,6 +28,8 @@
 	MethodEntries = "registry.entries"
 	// MethodRetire asks the leader to move all replicas off a store VM.
 	MethodRetire = "registry.retire"
+	// MethodWithdraw asks the leader to record that a target has left.
+	MethodWithdraw = "registry.withdraw"
 )
 
 // These are the error codes of the methods.
@@ -204,6 +206,13 @@
 	Done bool `json:"done"`
 }
 
+// WithdrawRequest records that an incarnation of a target has left; StartedUnixMS is 0 for the
+// latest one.
+type WithdrawRequest struct {
+	ID            string `json:"id"`
+	StartedUnixMS int64  `json:"started,omitempty"`
+}
+
 // EntriesRequest asks for entries that can reach targets.
 type EntriesRequest struct {
 	// Node is the id of the VM that asks, which is left out, and DataCentre is its data
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -126,6 +126,7 @@
 	s.Handle(MethodDocument, g.handleDocument)
 	s.Handle(MethodRetire, g.handleRetire)
 	s.Handle(MethodEntries, g.handleEntries)
+	s.Handle(MethodWithdraw, g.handleWithdraw)
 }
 
 // Run runs the leader's tasks, while this VM is the leader, until ctx ends.
@@ -169,20 +170,6 @@
 	return g.commit(ctx, catalog.Command{PutTarget: &t})
 }
 
-// Withdraw records that a target has left. It has no effect if startedUnixMS is set and
-// a later incarnation of the target is known.
-func (g *Registry) Withdraw(ctx context.Context, id string, startedUnixMS int64) error {
-	var target catalog.Target
-	found := false
-	g.options.Machine.read(func(s *catalog.State) { target, found = s.Targets[id] })
-	if !found || target.State == catalog.Gone || (startedUnixMS != 0 && startedUnixMS < target.StartedUnixMS) {
-		return nil
-	}
-	target.State = catalog.Gone
-	target.Sequence++
-	return g.commit(ctx, catalog.Command{PutTarget: &target})
-}
-
 // Document returns the document of the latest configuration. The leader reads it after
 // a quorum has confirmed its leadership during the call.
 func (g *Registry) Document(ctx context.Context) ([]byte, error) {
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -69,6 +69,10 @@
 // Error returns the code and the message, separated by a colon.
 func (e *Error) Error() string { return e.Code + ": " + e.Message }
 
+// CodeMethodNotFound is the code of an error for a method that the other side does not have,
+// because it is of an earlier release.
+const CodeMethodNotFound = "method_not_found"
+
 // Errorf returns an *Error with a formatted message.
 func Errorf(code, format string, args ...any) *Error {
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -39,7 +39,7 @@
 	pool := NewPool(time.Second)
 	defer pool.Close()
 	for _, c := range []struct{ method, code string }{
-		{"echo", ""}, {"fail", "teapot"}, {"panic", "internal"}, {"absent", "internal"}, {"echo", ""},
+		{"echo", ""}, {"fail", "teapot"}, {"panic", "internal"}, {"absent", CodeMethodNotFound}, {"echo", ""},
 	} {
 		var got map[string]int
 		err := pool.Call(t.Context(), address, c.method, map[string]int{"n": 7}, &got)
--- a/server/rpc/server.go
+++ b/server/rpc/server.go
@@ -218,6 +218,9 @@
 			return &typed
 		}
 	}
+	if rpcErr.Code == methodNotFoundCode {
+		return &Error{Code: CodeMethodNotFound, Message: rpcErr.Message}
+	}
 	return &Error{Code: "internal", Message: rpcErr.Message}
 }
 
