Formation: a VM that ends during the first start takes part after its restart

Cause: a restarted VM has "first_start": false, so its replica joins, and a joining replica neither forms a group nor accepts an initial configuration, because its settings name no peers. If that happens to the seed that sorts first, or before the others have stored the configuration, the group never forms. The same holds for the store group.

Change: a VM marks its data directory on its first start until its group has formed, and takes part in the formation while the mark is there. A joining replica accepts an initial configuration that names it, so that a VM whose disk was replaced meanwhile does not hold up the others. Only a replica on its first start forms a group, as before, and only if all others answer that they have taken part in none.

TestJoiningReplicaAcceptsAnInitialConfiguration fails with the former check.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -284,6 +284,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("formation.data_dir: %w", err)
 	}
+	if joining {
+		p.endFormation()
+	} else {
+		go p.awaitFormation(ctx, q)
+	}
 	p.startTask("quorum", func() error {
 		<-q.Stopped()
 		return q.Failure()
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -46,7 +46,7 @@
 func (p *process) runControl(ctx context.Context) error {
 	machine := registry.NewMachine()
 	var initialMembers []string
-	if p.Settings.Formation.FirstStart {
+	if p.beginFormation(ctx) {
 		initialMembers = p.seeds()
 	}
 	q, err := p.startQuorum(ctx, machine, initialMembers)
@@ -177,9 +177,9 @@
 
 // initialStores waits until the control role has named the initial members of the store
 // group and returns their addresses. It returns nil for a VM that joins a group or
-// restarts.
+// restarts after the group has formed.
 func (p *process) initialStores(ctx context.Context, f *registry.Follower) []string {
-	if !p.Settings.Formation.FirstStart {
+	if !p.beginFormation(ctx) {
 		return nil
 	}
 	for ctx.Err() == nil {
--- a/server/quorum/form.go
+++ b/server/quorum/form.go
@@ -123,8 +123,10 @@
 	return helloResponse{ID: q.id, HasState: q.published.Load().hasState}, nil
 }
 
-// handleBootstrap stores the initial configuration if it names the same replicas as
-// this replica's settings.
+// handleBootstrap stores the initial configuration if it names the same replicas as this
+// replica's settings. A joining replica, whose settings name none, accepts any that names it: it may
+// have lost its disk during the first start. The replica that forms the cluster has made sure
+// that none of the others has taken part in one.
 func (q *Quorum) handleBootstrap(ctx context.Context, params json.RawMessage) (any, error) {
 	var r bootstrapRequest
 	if err := json.Unmarshal(params, &r); err != nil {
@@ -135,7 +137,7 @@
 		names = append(names, m.Name)
 	}
 	slices.Sort(names)
-	if configured := slices.Sorted(maps.Keys(q.opts.Peers)); !slices.Equal(configured, names) {
+	if configured := slices.Sorted(maps.Keys(q.opts.Peers)); !q.opts.Joining && !slices.Equal(configured, names) {
 		return nil, rpc.Errorf("settings_differ", "initial voters %v, but the settings of %s name %v", names, q.id.Name, configured)
 	}
 	if err := q.bootstrap(ctx, r.Configuration); err != nil {
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -100,7 +100,8 @@
 	// Metrics is the registry of the replica's metrics; nil means a new, private one.
 	Metrics metrics.Registry
 	// Joining is set for a replica that never forms a cluster and waits until a leader
-	// adds it; see MaintainMembership.
+	// adds it (see MaintainMembership) or until one that forms a cluster names it as an
+	// initial voter.
 	Joining bool
 	// Raft overrides parameters of the protocol. Start sets its ID and Seed.
 	Raft raft.Config
@@ -244,6 +245,9 @@
 	return v.leader.Name, q.transport.address(v.leader), v.leader == q.id
 }
 
+// Formed reports whether this replica belongs to a cluster, or has belonged to one.
+func (q *Quorum) Formed() bool { return q.published.Load().hasState }
+
 // LeaderSince returns the time at which this replica became the leader, or the zero time
 // if it is not the leader.
 func (q *Quorum) LeaderSince() time.Time { return q.published.Load().leaderSince }
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -73,6 +73,8 @@
 	// unknown counts for each command how often propose repeated it because the outcome was
 	// unknown.
 	unknown map[string]int
+	// joining holds the names of the replicas that join; their settings name no peers.
+	joining map[string]bool
 }
 
 // faultyStorage is a storage whose appends fail while failing returns true.
@@ -150,8 +152,12 @@
 		}
 		return r.pool.CallerFor(address), nil
 	}
+	peers := c.peers
+	if c.joining[name] {
+		peers = nil
+	}
 	q, err := Start(Options{
-		Name: name, DataDir: filepath.Join(c.dir, name), RPCAddress: c.peers[name], Peers: c.peers,
+		Name: name, DataDir: filepath.Join(c.dir, name), RPCAddress: c.peers[name], Peers: peers, Joining: c.joining[name],
 		StateMachine: r.state, Dial: dial, Raft: raft.Config{CompactAfter: 20, RetainEntries: 5, SnapshotChunkBytes: 64},
 		wrapStorage: func(s storage) storage {
 			return faultyStorage{s, func() bool { return c.isSet(c.failing, name) }}
