Process: SIGHUP is received from the initialisation on

Cause: server/node registered the handler of SIGHUP after the settings had been read and the RPC listener was open. Before that, the signal terminates the process. The initialisation of packages before main takes 5 to 8 ms of that time (GODEBUG=inittrace=1), most of it for the schemas of settings.

Change: server/hangup registers the handler in its initialisation and imports nothing that delays it; server/node gets the signals as Options.Reload. One that is received during the start has its effect once the settings are watched. Commands that read no settings again restore the default handling, with which a signal received in the meantime takes effect.

The first milliseconds until the Go runtime has started can't be covered by the process.

--- a/cmd/hemlockvaled/main.go
+++ b/cmd/hemlockvaled/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"hemlockvale.dev/server/hangup"
 )
 
 // These are the exit statuses of hemlockvaled other than 0.
@@ -53,6 +55,13 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand(), serveCommand(), devCommand(), recoverCommand())
+	serve := serveCommand()
+	root.AddCommand(runCommand(), checkCommand(), serve, devCommand(), recoverCommand())
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		if cmd == serve {
+			return nil
+		}
+		return hangup.Restore()
+	}
 	return root
 }
--- a/cmd/hemlockvaled/serve.go
+++ b/cmd/hemlockvaled/serve.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"hemlockvale.dev/platform"
+	"hemlockvale.dev/server/hangup"
 	"hemlockvale.dev/server/logging"
 	"hemlockvale.dev/server/node"
 	"hemlockvale.dev/server/settings"
@@ -39,7 +40,7 @@
 			if err != nil {
 				return err
 			}
-			return node.Run(cmd.Context(), node.Options{Settings: s, Path: file, Adapter: platform.Adapter{}, Log: log, DroppedLines: out.Dropped})
+			return node.Run(cmd.Context(), node.Options{Settings: s, Path: file, Adapter: platform.Adapter{}, Log: log, DroppedLines: out.Dropped, Reload: hangup.Signals()})
 		},
 	}
 	settingsFlag(cmd, &file)
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -10,10 +10,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -75,6 +73,9 @@
 	Log *logrus.Entry
 	// DroppedLines returns the number of log lines that were dropped.
 	DroppedLines func() int64
+	// Reload receives a signal when the settings file is to be read again at once; nil if it
+	// is read only when it changes.
+	Reload <-chan os.Signal
 }
 
 // process holds the state that all roles share.
@@ -194,11 +195,9 @@
 	return err
 }
 
-// watchSettings loads the settings again on SIGHUP or when the file has changed. Only
+// watchSettings loads the settings again on Options.Reload or when the file has changed. Only
 // the seeds take effect in a running process.
 func (p *process) watchSettings(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastModified := modTime(p.Path)
@@ -207,7 +206,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-p.Reload:
 			signalled = true
 		case <-ticker.C:
 		}
