Control: a VM is listed after a restart that follows a clock step

Cause: reports of a process whose start time of day is earlier than that of its predecessor were ignored for good, so that an entry was not listed after its clock had been set back.

Change: the start orders two incarnations only while the latest one reports. The starts of up to 8 predecessors are remembered, so that a late report of a predecessor with a later start does not replace the process that runs.

--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -111,6 +111,8 @@
 type vmReport struct {
 	VM
 	receivedAt time.Time
+	// ended holds the starts of earlier incarnations, the latest last.
+	ended []int64
 }
 
 // New returns a registry. Run must be called for the leader's tasks.
--- a/server/registry/reports.go
+++ b/server/registry/reports.go
@@ -11,13 +11,16 @@
 	"hemlockvale.dev/coord/history"
 )
 
+// maxEnded bounds the earlier incarnations of a VM that are remembered.
+const maxEnded = 8
+
 // recordReport stores the report of a VM. A report of an earlier incarnation is
 // ignored. An incarnation that has reported that it is draining stays draining.
 func (g *Registry) recordReport(vm VM) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	previous := g.reports[vm.Node]
-	if previous != nil && previous.Started > vm.Started {
+	if previous != nil && g.isEarlier(vm.Started, previous) {
 		return
 	}
 	if previous == nil || previous.Started != vm.Started || previous.Draining != vm.Draining || previous.Isolated != vm.Isolated || previous.RPCAddress != vm.RPCAddress {
@@ -29,14 +32,39 @@
 	if vm.Role == "store" && g.firstStoreReport.IsZero() {
 		g.firstStoreReport = time.Now()
 	}
-	g.reports[vm.Node] = &vmReport{VM: vm, receivedAt: time.Now()}
+	report := &vmReport{VM: vm, receivedAt: time.Now()}
+	if previous != nil {
+		report.ended = previous.ended
+		if previous.Started != vm.Started {
+			report.ended = append(slices.Clone(previous.ended), previous.Started)
+			report.ended = report.ended[max(0, len(report.ended)-maxEnded):]
+		}
+	}
+	g.reports[vm.Node] = report
+}
+
+// isEarlier reports whether an incarnation is earlier than the one that reported last. The start
+// times are times of day, and the clock may have been set back between the two, so that the order
+// of the starts and that of the first reports are evidence only while the latest incarnation
+// reports. If it is silent, the one that reports is the one that runs. The caller holds g.mu.
+func (g *Registry) isEarlier(started int64, latest *vmReport) bool {
+	if time.Since(latest.receivedAt) >= g.reportTimeout() {
+		return false
+	}
+	return started < latest.Started || slices.Contains(latest.ended, started)
+}
+
+// reportTimeout returns the time without a report after which a VM is no longer listed. The
+// caller holds g.mu.
+func (g *Registry) reportTimeout() time.Duration {
+	return missedWatches*watchTimeoutFor(len(g.reports)) + reportMargin
 }
 
 // liveVMs returns the VMs with a role that reported recently, ordered by id.
 func (g *Registry) liveVMs(role string) []VM {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	timeout := missedWatches*watchTimeoutFor(len(g.reports)) + reportMargin
+	timeout := g.reportTimeout()
 	var vms []VM
 	for _, node := range slices.Sorted(maps.Keys(g.reports)) {
 		report := g.reports[node]
