Follower: the time since the last contact with control is monotonic

A clock that was set back after the last response made a VM without contact take its configuration for current, so that it answered 401 and 404 instead of 503; one that was set forward did the opposite until the next response.

Change: the age is measured on the boot clock, which includes suspensions.

Measured: TestContactIsMeasuredOnTheBootClock; server/registry passes.

--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -14,6 +14,7 @@
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/history"
+	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
 )
@@ -58,8 +59,8 @@
 type Follower struct {
 	options FollowerOptions
 	view    atomic.Pointer[View]
-	// lastResponse is the Unix time in nanoseconds of the last response from any
-	// control VM; 0 if there was none.
+	// lastResponse is the time of the last response from any control VM, in nanoseconds of the
+	// boot clock, which does not change with the time of day; 0 if there was none.
 	lastResponse atomic.Int64
 
 	mu sync.Mutex
@@ -90,7 +91,7 @@
 
 // Age returns the time since the last response from any control VM.
 func (f *Follower) Age() time.Duration {
-	return time.Duration(time.Now().UnixNano() - f.lastResponse.Load())
+	return bootclock.Now() - time.Duration(f.lastResponse.Load())
 }
 
 // Current reports whether a control VM has responded within contactTimeout.
@@ -273,7 +274,7 @@
 		return nil
 	}
 	state.reported = self
-	f.lastResponse.Store(time.Now().UnixNano())
+	f.lastResponse.Store(int64(bootclock.Now()))
 	if response.Members != nil {
 		state.membersDigest = response.Members.digest()
 		f.setMembers(address, *response.Members)
--- a/server/registry/follower_test.go
+++ b/server/registry/follower_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/server/bootclock"
 )
 
 // TestEagerWatches guards against changes that every control VM announces to every VM, and
@@ -64,3 +65,16 @@
 	assert.Less(t, await(0), timeout/2)
 	assert.GreaterOrEqual(t, await(heartbeatOnly), timeout)
 }
+
+// TestContactIsMeasuredOnTheBootClock guards against a VM that takes its catalog for current, and
+// refuses requests as unknown, because its time of day was set back after control had last
+// responded.
+func TestContactIsMeasuredOnTheBootClock(t *testing.T) {
+	f := NewFollower(FollowerOptions{})
+	assert.False(t, f.Current(), "control has never responded")
+	f.lastResponse.Store(int64(bootclock.Now() - contactTimeout/2))
+	assert.True(t, f.Current())
+	f.lastResponse.Store(int64(bootclock.Now() - contactTimeout))
+	assert.False(t, f.Current())
+	assert.InDelta(t, contactTimeout.Seconds(), f.Age().Seconds(), 1)
+}
