--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -101,18 +101,24 @@
 	// suspected targets were recently unreachable or broke off several answers in a
 	// row.
 	suspected
+	// suspectedExcluded targets are both.
+	suspectedExcluded
 	// unusable targets are draining.
 	unusable
 )
 
 // classFor returns the class of the target for a request.
 func (t *target) classFor(now time.Duration, r *Request) targetClass {
-	switch {
-	case t.Draining:
+	if t.Draining {
 		return unusable
+	}
+	isExcluded := slices.Contains(r.Exclude, t.ID)
+	switch {
+	case t.isSuspect(now) && isExcluded:
+		return suspectedExcluded
 	case t.isSuspect(now):
 		return suspected
-	case slices.Contains(r.Exclude, t.ID):
+	case isExcluded:
 		return excluded
 	}
 	return healthy
@@ -127,7 +133,9 @@
 		t.failures, t.broken, t.suspectUntil, t.completedAt = 0, 0, 0, now
 	case NotRun:
 		t.fullUntil = now + fullPause
-	case WrongTarget:
+	case WrongTarget, Leaving:
+		// The catalog from which this target was granted may be older than that of the sending
+		// VM. Until it has caught up, each grant here costs a request another placement.
 		t.markSuspect(now)
 	case Unreachable:
 		// The path of one VM may be broken while others are being served.
--- a/server/forward/memory_relay_test.go
+++ b/server/forward/memory_relay_test.go
@@ -27,7 +27,7 @@
 	require.NoError(t, err)
 	accept := func(relay.Offer) error { return nil }
 	serveRelays(t, listener, serving, accept, func(net.Conn) {})
-	options := testOptions(&testLedger{finalRefusal: dispatch.PathLost}, true, newTestHistories())
+	options := testOptions(&testLedger{finalRefusal: dispatch.PathLost}, true, newTestHistories(), &testView{})
 	options.MemoryQuota = testQuota
 	options.Peers = func(context.Context) ([]string, error) { return []string{listener.Addr().String()}, nil }
 	offering := New(options)
--- a/server/forward/memory_test.go
+++ b/server/forward/memory_test.go
@@ -46,7 +46,7 @@
 // startMemoryEntry starts an entry with testQuota.
 func startMemoryEntry(t *testing.T, l Ledger) (*Entry, *httptest.Server) {
 	t.Helper()
-	options := testOptions(l, true, newTestHistories())
+	options := testOptions(l, true, newTestHistories(), &testView{})
 	options.MemoryQuota, options.StallTimeout = testQuota, testStallTimeout
 	e := New(options)
 	return e, startServer(t, e)
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -30,7 +31,7 @@
 		return true
 	}
 	for resumed := 0; ; resumed++ {
-		if x.entry.leaving.has(incarnationOf(grant)) {
+		if x.leaves(grant) {
 			// The leader does not know yet that the target leaves.
 			return x.handleFailure(grant, dispatch.Leaving)
 		}
@@ -88,8 +89,10 @@
 // handleFailure excludes a target at which the request failed. It returns true if
 // the request should be placed at another target.
 func (x *exchange) handleFailure(grant ledgerhost.AdmitResponse, result dispatch.Result) bool {
+	// The leader grants a target that was declined before only if it knows no other one.
+	noOther := result == dispatch.Leaving && slices.Contains(x.record.outcomes, outcome{grant.Target, dispatch.Leaving})
 	x.excludedTargets = append(x.excludedTargets, grant.Target)
-	retry := result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry())
+	retry := !noOther && (result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry()))
 	x.reportDone(grant.Target, result, !retry)
 	if !retry {
 		x.failRequest()
@@ -133,6 +136,10 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
+	if x.leaves(grant) {
+		// The target has left while the history was read or the connection was opened.
+		return dispatch.Leaving, info, false, nil
+	}
 	x.granted = grant
 	x.expectResponse(grant.Target)
 	out := x.newTargetRequest(grant)
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -10,10 +10,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -76,6 +74,9 @@
 	Log *logrus.Entry
 	// DroppedLines returns the number of log lines that were dropped.
 	DroppedLines func() int64
+	// Reload receives a signal when the settings file is to be read again at once; nil if it
+	// is read only when it changes.
+	Reload <-chan os.Signal
 }
 
 // process holds the state that all roles share.
@@ -212,11 +213,9 @@
 	return err
 }
 
-// watchSettings loads the settings again on SIGHUP or when the file has changed. Only
+// watchSettings loads the settings again on Options.Reload or when the file has changed. Only
 // the seeds take effect in a running process.
 func (p *process) watchSettings(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastModified := modTime(p.Path)
@@ -225,7 +224,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-p.Reload:
 			signalled = true
 		case <-ticker.C:
 		}
@@ -302,6 +301,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("formation.data_dir: %w", err)
 	}
+	if joining {
+		p.endFormation()
+	} else {
+		go p.awaitFormation(ctx, q)
+	}
 	p.startTask("quorum", func() error {
 		<-q.Stopped()
 		return q.Failure()
