forward: targets that may have run a stream count against max_attempts

Cause: when a stream broke off, forward requested the same target again without recording that the first send may have run. If the second send did not run (full, unreachable, wrong target, leaving, not granted), only that result was counted, and the request was placed at another target although max_attempts was used up. An entry that took a relayed request did not compare the stated runs with the limit at all.

Change: a target counts from the first send that may have run there, once for all sends to it in one placement. Each placement passes mayPlace, after any result and also at the start of a relayed request. A stream that may go on at its target only waits there while the target says that it is full (8 times at most).

New tests only; testLedger gains the address at which streams are resumed.

--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -66,7 +66,11 @@
 
 // admitAgain requests another grant at the target that broke off the stream, which may have
 // reached its rate limit or be draining by now. It returns false if the ledger gives none.
-func (x *exchange) admitAgain(broken ledgerhost.AdmitResponse) (ledgerhost.AdmitResponse, bool) {
+func (x *exchange) admitAgain(broken ledgerhost.AdmitResponse, result dispatch.Result) (ledgerhost.AdmitResponse, bool) {
+	if result == dispatch.NotRun {
+		// The ledger pauses a target that is full. The next admission replaces a broken grant.
+		x.reportDone(broken.Target, result, false)
+	}
 	x.attempt++
 	request := x.newAdmitRequest()
 	request.Target = broken.Target
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -88,6 +88,9 @@
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
 	refuseResumes bool
+	// resumeAddress is the address of targets where streams are resumed, if it is not the one
+	// in their id.
+	resumeAddress string
 }
 
 func (l *testLedger) ObserveRate(o ledgerhost.RateObservation) {
@@ -118,7 +121,7 @@
 		if l.refuseResumes {
 			return ledgerhost.AdmitResponse{Refusal: dispatch.NoTarget}, nil
 		}
-		return ledgerhost.AdmitResponse{Target: r.Target, Address: strings.TrimPrefix(r.Target, "t-"), Holders: l.holders}, nil
+		return ledgerhost.AdmitResponse{Target: r.Target, Address: cmp.Or(l.resumeAddress, strings.TrimPrefix(r.Target, "t-")), Holders: l.holders}, nil
 	}
 	if len(l.targets) == 0 {
 		return ledgerhost.AdmitResponse{Refusal: cmp.Or(l.finalRefusal, dispatch.Overloaded), RetryAfter: time.Second}, nil
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -191,6 +191,13 @@
 	// mayHaveRun is set when a target gets the request and does not report that it did
 	// not run it. It is never cleared: a later target knows nothing about an earlier one.
 	mayHaveRun bool
+	// ranAt is the number of targets of this entry that may have run the request, and counted
+	// is set once the current one is among them.
+	ranAt   int
+	counted bool
+	// resumes and refusals are how often the stream broke off at the current target, and how
+	// often the target was full when the stream should go on there.
+	resumes, refusals int
 	// unanswered is set from the first byte that a target gets of the request until its
 	// response is complete, or reports that the request did not run. headReceived is set once
 	// the head of the response has arrived. sentAt is when the request was sent, on the boot
@@ -289,6 +296,12 @@
 			}
 			x.ignorePaths = true
 		}
+		if !x.mayPlace() {
+			// Another entry passed the request on after as many targets as allowed.
+			x.settle()
+			x.failRequest()
+			return
+		}
 		grant, ok := x.admit()
 		if !ok {
 			return
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -11,7 +11,6 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/relay"
@@ -166,14 +165,8 @@
 
 // runs returns the number of targets that may have run the request.
 func (x *exchange) runs() int {
-	n := 0
 	if x.offer != nil {
-		n = x.offer.Runs
+		return x.offer.Runs + x.ranAt
 	}
-	for _, o := range x.record.outcomes {
-		if o.result == dispatch.Broken {
-			n++
-		}
-	}
-	return n
+	return x.ranAt
 }
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -18,8 +18,14 @@
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
-// maxResumes bounds how often a broken stream is resumed at the same target.
-const maxResumes = 2
+const (
+	// maxResumes bounds how often a broken stream is resumed at the same target.
+	maxResumes = 2
+	// maxFullWaits bounds how often a stream waits for its target to have a free slot. The
+	// ledger pauses the target for 30 ms each time; a target that still generates for the
+	// broken connection notices that with its next event.
+	maxFullWaits = 8
+)
 
 // forward sends the request to the granted target and relays its response. It
 // returns true if the request should be placed at another target.
@@ -30,7 +36,7 @@
 		x.reportDone(grant.Target, dispatch.Unreachable, false)
 		return true
 	}
-	for resumed := 0; ; resumed++ {
+	for x.counted, x.resumes, x.refusals = false, 0, 0; ; {
 		if x.entry.leaving.has(incarnationOf(grant)) {
 			// The leader does not know yet that the target leaves.
 			return x.handleFailure(grant, dispatch.Leaving)
@@ -59,8 +65,8 @@
 		if result == dispatch.Broken {
 			x.entry.paths.doubt(grant.Target)
 		}
-		if result == dispatch.Broken && x.resumable() && resumed < maxResumes {
-			if next, ok := x.admitAgain(grant); ok {
+		if x.continuesHere(result) {
+			if next, ok := x.admitAgain(grant, result); ok {
 				grant = next
 				continue
 			}
@@ -69,6 +75,22 @@
 	}
 }
 
+// continuesHere reports whether a stream should be requested again at the target where it broke
+// off. If the target is full by then, the stream waits for it only if no other may run it.
+func (x *exchange) continuesHere(result dispatch.Result) bool {
+	switch {
+	case !x.resumable():
+		return false
+	case result == dispatch.Broken:
+		x.resumes++
+		return x.resumes <= maxResumes
+	case result == dispatch.NotRun:
+		x.refusals++
+		return x.refusals <= maxFullWaits && !x.mayPlace()
+	}
+	return false
+}
+
 // resumable reports whether a broken stream may be continued after the last event.
 func (x *exchange) resumable() bool {
 	return x.route.Kind == routing.Streaming && x.route.Resumable && x.lastEventID != ""
@@ -90,7 +112,7 @@
 // the request should be placed at another target.
 func (x *exchange) handleFailure(grant ledgerhost.AdmitResponse, result dispatch.Result) bool {
 	x.excludedTargets = append(x.excludedTargets, grant.Target)
-	retry := result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry())
+	retry := x.mayPlace()
 	x.reportDone(grant.Target, result, !retry)
 	if !retry {
 		x.failRequest()
@@ -98,10 +120,21 @@
 	return retry
 }
 
-// mayRetry reports whether the request may run at one more target. Only attempts
-// that may have run count against the route's limit.
-func (x *exchange) mayRetry() bool {
-	return x.runs()+1 < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
+// mayPlace reports whether the request may be placed at a target, or at one more. Only targets
+// that may have run it count against the route's limit.
+func (x *exchange) mayPlace() bool {
+	runs := x.runs()
+	return runs == 0 || x.route.Repeatable() && runs < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
+}
+
+// countRun records that the current target may have run the request. A stream that is requested
+// there again counts once.
+func (x *exchange) countRun() {
+	x.mayHaveRun = true
+	if !x.counted {
+		x.counted = true
+		x.ranAt++
+	}
 }
 
 // errUnsigned is returned for a response with a status below 300 that does not carry the
@@ -144,12 +177,12 @@
 	w := x.entry.paths.await(grant.Target, c, x.route.Repeatable())
 	defer x.entry.paths.end(w)
 	if err != nil {
-		x.mayHaveRun = true
+		x.countRun()
 		return dispatch.Broken, info, false, err
 	}
 	response, info, err := c.receive(out, x.entry.options.HeaderCodec)
 	if err != nil || !info.NotRun {
-		x.mayHaveRun = true
+		x.countRun()
 	}
 	if err != nil {
 		return dispatch.Broken, info, false, err
