dispatch: doubt about the version of a target's software

Cause: the leader takes the version of a target from its latest heartbeat. Between a restart under the same id and the first heartbeat of the new process it continued streams there, and continued elsewhere streams that had begun at the new process. Besides, a stream that an entry broke off itself kept the version that its grant had stated, after the leader had dropped the origin.

Change: a refused or broken connection makes the version of a target uncertain until each VM that noticed a break has evidence that the same process serves, or until a heartbeat that was sent later. Heartbeats may be late, so the second one after the break counts. Meanwhile continuations wait, at that target and for streams that began there after the break; new requests are granted. A stated origin needs its grant.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	rates map[string]*targetRate
 	// origins holds what began the streams that callers may take up.
 	origins origins
+	// doubted holds the targets whose version is uncertain, by id.
+	doubted map[string]*target
 	grants  map[string]*grant
 	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
@@ -83,6 +85,7 @@
 		buckets:          make(map[string]*bucket),
 		rates:            make(map[string]*targetRate),
 		origins:          newOrigins(),
+		doubted:          make(map[string]*target),
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
@@ -102,16 +105,25 @@
 	d.targetsByService = make(map[string][]*target)
 	for _, t := range ts {
 		n := d.targets[t.ID]
-		if n == nil || n.Service != t.Service || n.KVCapacity != t.KVCapacity {
-			n = newTarget(t)
-		} else if n.Software != t.Software {
+		if n != nil && n.Software != t.Software {
 			d.origins.forgetTarget(t.ID)
 		}
+		if known := n; n == nil || n.Service != t.Service || n.KVCapacity != t.KVCapacity {
+			n = newTarget(t)
+			n.knownSince = now
+			if known != nil {
+				n.Target, n.doubt, n.knownSince, n.certainAt = known.Target, known.doubt, known.knownSince, known.certainAt
+			}
+		}
+		if n.Started != t.Started || n.Software != t.Software {
+			n.doubt, n.knownSince, n.certainAt = nil, now, 0
+		}
 		n.Target = t
 		next[t.ID] = n
 		d.targetsByService[t.Service] = append(d.targetsByService[t.Service], n)
 	}
 	d.targets = next
+	d.renewTargets()
 	d.attachRates(now)
 	return d.grantAllWaiting(now)
 }
--- a/coord/dispatch/origin.go
+++ b/coord/dispatch/origin.go
@@ -26,9 +26,11 @@
 // knownOrigin is the origin of the stream of one request.
 type knownOrigin struct {
 	Origin
-	// target is the id of the target that began the stream.
-	target  string
-	expires time.Duration
+	// target is the id of the target that began the stream, and grantedAt the time of the
+	// grant.
+	target    string
+	grantedAt time.Duration
+	expires   time.Duration
 }
 
 // origins holds the origins of recent streams by request id. A dispatcher knows those that
@@ -66,39 +68,52 @@
 
 // LearnOrigin records the origin of a stream that an earlier dispatcher granted at a
 // target; left is the time until its request's deadline. It changes no origin that is
-// known, and ignores one that does not agree with the software of the target.
+// known, and ignores one that does not agree with the software of the target. The time of the
+// grant is not known, so that the origin counts as uncertain if the target is in doubt.
 func (d *Dispatcher) LearnOrigin(now time.Duration, requestID, targetID string, origin Origin, left time.Duration) {
 	if t := d.targets[targetID]; t != nil && t.Software != origin.Software {
 		return
 	}
 	if _, known := d.origins.byRequest[requestID]; !known {
-		d.origins.byRequest[requestID] = knownOrigin{origin, targetID, now + left + originRetention}
+		d.origins.byRequest[requestID] = knownOrigin{origin, targetID, now, now + left + originRetention}
 	}
 }
 
 // recordOrigin records that the stream of a request, if it is one, begins at a target.
-func (d *Dispatcher) recordOrigin(w *waitingRequest, t *target) {
+func (d *Dispatcher) recordOrigin(now time.Duration, w *waitingRequest, t *target) {
+	if _, known := d.origins.byRequest[w.request.ID]; known && w.request.SameProcess {
+		// The process that began the stream continues it, so the time of its first grant counts.
+		return
+	}
 	if w.request.Stream {
-		d.origins.byRequest[w.request.ID] = knownOrigin{Origin{t.Service, t.Software}, t.ID, w.expires + originRetention}
+		d.origins.byRequest[w.request.ID] = knownOrigin{Origin{t.Service, t.Software}, t.ID, now, w.expires + originRetention}
 	}
 }
 
 // resolveOrigin sets the origin of a request that continues a stream. It returns a refusal
-// if no target may continue the stream, or if nobody knows which ones may.
+// if no target may continue the stream, or if nobody knows which ones may. What the sending VM
+// states about a stream that it broke off itself is what its grant stated, so the grant must
+// still be known as well.
 func (d *Dispatcher) resolveOrigin(r *Request) Refusal {
 	if !r.Continues {
 		return ""
 	}
-	if r.Origin == nil {
-		known, ok := d.origins.byRequest[r.Resumes]
-		switch {
-		case ok:
+	r.origin = r.Resumes
+	if r.Origin != nil {
+		r.origin = r.ID
+	}
+	known, ok := d.origins.byRequest[r.origin]
+	switch {
+	case ok:
+		r.inDoubt = d.beganInDoubt(known)
+		if r.Origin == nil {
 			r.Origin = &known.Origin
-		case d.statesSoftware(r.Service):
-			return OriginUnknown
-		default:
-			return ""
 		}
+	case r.SameProcess && r.Origin != nil:
+	case d.statesSoftware(r.Service):
+		return OriginUnknown
+	case r.Origin == nil:
+		return ""
 	}
 	if r.Origin.Service != r.Service || !d.hasTarget(r) {
 		return SoftwareGone
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -28,7 +28,7 @@
 	if w.program != nil {
 		w.program.addWait(now, now-w.queuedAt)
 	}
-	d.recordOrigin(w, t)
+	d.recordOrigin(now, w, t)
 	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
@@ -46,7 +46,7 @@
 	median := d.median(now, r.Service)
 	d.candidates = d.candidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
-		if !r.allows(t) || !r.reaches(t) {
+		if !r.allows(t) || !r.reaches(t) || !r.mayContinue(t) {
 			continue
 		}
 		class := t.classFor(now, r)
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -232,9 +232,10 @@
 	return time.Duration(burstFactor * float64(wait) / max(spareShare, minSpareShare))
 }
 
-// refuseWithoutTarget refuses a request that waits for targets which have left.
-func (d *Dispatcher) refuseWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
-	o := Outcome{ID: w.request.ID, Refusal: SoftwareGone, Waited: now - w.queuedAt}
+// refuseWithoutTarget refuses a request that waits for targets which have left, or that can't
+// be continued for the given reason.
+func (d *Dispatcher) refuseWithoutTarget(now time.Duration, w *waitingRequest, reason Refusal) Outcome {
+	o := Outcome{ID: w.request.ID, Refusal: cmp.Or(reason, SoftwareGone), Waited: now - w.queuedAt}
 	if w.request.Origin == nil {
 		o.Refusal, o.RetryAfter = NoTarget, d.withJitter(noTargetRetryAfter)
 	}
@@ -252,7 +253,7 @@
 	}
 	if !d.acceptsRequests(service) {
 		for len(q.waiting) > 0 {
-			out = append(out, d.dropWithoutTarget(now, q.waiting[0]))
+			out = append(out, d.dropWithoutTarget(now, q.waiting[0], ""))
 		}
 		return out
 	}
@@ -262,8 +263,8 @@
 	for at := 0; at < len(q.waiting); {
 		w := q.waiting[at]
 		pinned := w.request.pinned()
-		if pinned && !d.hasTarget(&w.request) {
-			out = append(out, d.dropWithoutTarget(now, w))
+		if reason := d.recheckOrigin(&w.request); reason != "" || pinned && !d.hasTarget(&w.request) {
+			out = append(out, d.dropWithoutTarget(now, w, reason))
 			continue
 		}
 		o, ok := d.place(now, w)
@@ -296,11 +297,11 @@
 	}
 }
 
-// dropWithoutTarget removes and refuses a request that waits for targets which have left.
-func (d *Dispatcher) dropWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
+// dropWithoutTarget removes and refuses a request as refuseWithoutTarget does.
+func (d *Dispatcher) dropWithoutTarget(now time.Duration, w *waitingRequest, reason Refusal) Outcome {
 	d.forget(w)
 	d.refund(w.request.Organisation)
-	return d.refuseWithoutTarget(now, w)
+	return d.refuseWithoutTarget(now, w, reason)
 }
 
 // forget removes a waiting request from its queue, or from those that wait for a rate limit
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -53,6 +53,11 @@
 	completedAt time.Duration
 	// fullUntil is when the pause after a refusal as full ends.
 	fullUntil time.Duration
+	// doubt is nil while the version of the target's software is certain. knownSince is when
+	// the dispatcher heard of the incarnation, and certainAt a time at which the process
+	// certainly was this one.
+	doubt                 *doubt
+	knownSince, certainAt time.Duration
 	// rate is nil while the target states no rate limit.
 	rate  *targetRate
 	stats targetStats
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -30,6 +30,8 @@
 	DataCentre string
 	// Software is the version of the target's software; empty if it states none.
 	Software string
+	// Started is when the process of the target started, in Unix milliseconds.
+	Started int64
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// KVCapacity is the size of an engine's KV cache in tokens; 0 for plain
@@ -114,6 +116,15 @@
 	Unreachable []string `json:"ur,omitempty"`
 	// DataCentre is the data centre of the sending VM.
 	DataCentre string `json:"d,omitempty"`
+	// SameProcess is set if the sending VM continues the stream on a connection to Target that
+	// it had opened before the stream began. It is not a part of the encoded request, whose
+	// fields earlier builds count.
+	SameProcess bool `json:"-" msgpack:"-"`
+
+	// origin is the request whose grant states the origin of the stream that the request
+	// continues, and inDoubt is set while the software of that origin is uncertain.
+	origin  string
+	inDoubt bool
 }
 
 // pinned reports whether only some targets of the service may get the request.
