ledger, forward, registry: streams are continued only where the same version responds

Cause: a broken or refused connection did not make the leader doubt that the target still had the version of its latest heartbeat.

Change: entries report broken and refused connections to incarnations (the broken ones with the lost responses that they report anyway), and repeat them to a new leader. They report evidence of the same process as well: a response, or events, on a connection that was opened before the broken request was granted. A stream that breaks off is continued at once on an idle connection that was opened before it began, since only the same process can respond there; the admission announces that. Without one it waits for evidence, a quarter of the caller's time and 2.5 s at most. While there are doubts, the leader asks control every 300 ms for the heartbeats of the targets concerned. All of it is in new kinds of messages and a new RPC method, which earlier builds ignore; a leader whose control VMs are all of earlier builds ends doubts after 5 s.

--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"errors"
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -55,45 +55,27 @@
 }
 
 // askLedger sends an admission request and measures how long the ledger takes.
-func (x *exchange) askLedger(request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
+func (x *exchange) askLedger(ctx context.Context, request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	askedAt := bootclock.Now()
-	response, err := x.entry.options.Ledger.Admit(x.ctx, request)
+	response, err := x.entry.options.Ledger.Admit(ctx, request)
 	x.grantedAt = time.Now()
 	x.record.admitTime += bootclock.Now() - askedAt
 	x.record.queueTime += response.Waited
 	return response, err
 }
 
-// admitAgain requests another grant at the target that broke off the stream, which may have
-// reached its rate limit or be draining by now. It returns false if the ledger gives none.
-func (x *exchange) admitAgain(broken ledgerhost.AdmitResponse, result dispatch.Result) (ledgerhost.AdmitResponse, bool) {
-	if result == dispatch.NotRun {
-		// The ledger pauses a target that is full. The next admission replaces a broken grant.
-		x.reportDone(broken.Target, result, false)
-	}
-	x.attempt++
-	request := x.newAdmitRequest()
-	request.Target = broken.Target
-	response, err := x.askLedger(request)
-	if err != nil {
-		x.record.targetErr = errors.Join(x.record.targetErr, err)
-		return response, false
-	}
-	return response, response.Refusal == "" && response.Address != ""
-}
-
 // admit requests a target from the ledger. If other entries reach the targets, but this one
 // doesn't, it passes the request on. It returns false, after responding to the caller, if
 // the ledger grants no target.
 func (x *exchange) admit() (ledgerhost.AdmitResponse, bool) {
-	response, err := x.askLedger(x.newAdmitRequest())
+	response, err := x.askLedger(x.ctx, x.newAdmitRequest())
 	if err == nil && response.Refusal == dispatch.PathLost {
 		x.attempt++
 		if x.relay() {
 			return response, false
 		}
 		x.ignorePaths = true
-		response, err = x.askLedger(x.newAdmitRequest())
+		response, err = x.askLedger(x.ctx, x.newAdmitRequest())
 	}
 	if err != nil {
 		x.settle()
--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/sockopt"
 )
 
@@ -86,6 +87,8 @@
 	reader *bufio.Reader
 	// limiter is the source of reader.
 	limiter *headLimiter
+	// openedAt is when the connection was established, on the boot clock.
+	openedAt time.Duration
 	// idleUntil is the time after which an idle connection is not reused.
 	idleUntil time.Time
 	// writeDone is closed when the request body has been written or has failed with
@@ -116,7 +119,7 @@
 // newConn returns a connection on which requests can be sent.
 func newConn(raw net.Conn) *conn {
 	limiter := &headLimiter{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
+	return &conn{Conn: raw, openedAt: bootclock.Now(), reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
 }
 
 // awaitWritten waits up to bodyWriteTimeout for the request body to be written and
@@ -135,6 +138,9 @@
 	}
 }
 
+// isUsable reports whether a request may be sent on an idle connection.
+func (c *conn) isUsable() bool { return time.Now().Before(c.idleUntil) && c.isIdle() }
+
 // isIdle reports whether a connection is open and has no unread bytes.
 func (c *conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -91,8 +91,15 @@
 	// resumeAddress is the address of targets where streams are resumed, if it is not the one
 	// in their id.
 	resumeAddress string
+	// breaks are the reported breaks of connections, and serving the reports of targets that
+	// respond.
+	breaks  []catalog.Incarnation
+	serving []servingReport
 }
 
+// servingReport is a report of a target that responds.
+type servingReport struct{ openedAt, aliveAt time.Duration }
+
 func (l *testLedger) ObserveRate(o ledgerhost.RateObservation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,6 +120,24 @@
 	l.losses = append(l.losses, r)
 }
 
+func (l *testLedger) ReportBreak(i catalog.Incarnation, _ time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breaks = append(l.breaks, i)
+}
+
+func (l *testLedger) InDoubt(catalog.Incarnation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.losses) > 0
+}
+
+func (l *testLedger) ReportServing(_ catalog.Incarnation, openedAt, aliveAt time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serving = append(l.serving, servingReport{openedAt, aliveAt})
+}
+
 func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -78,6 +78,15 @@
 	ReportLeaving(i catalog.Incarnation)
 	// ReportLoss records that the response to a request was lost.
 	ReportLoss(r ledgerhost.LossReport)
+	// ReportBreak records that a connection to a target failed while it served a request that
+	// was granted at the time grantedAt of the boot clock.
+	ReportBreak(i catalog.Incarnation, grantedAt time.Duration)
+	// InDoubt reports whether a connection to a target failed, and nothing has shown since that
+	// its process is the same.
+	InDoubt(i catalog.Incarnation) bool
+	// ReportServing records that a target responds on a connection that was opened at the time
+	// openedAt, to what it was sent at the time aliveAt or later.
+	ReportServing(i catalog.Incarnation, openedAt, aliveAt time.Duration)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
 	Keep(ctx context.Context, k history.Keep) error
 }
@@ -198,6 +207,11 @@
 	// resumes and refusals are how often the stream broke off at the current target, and how
 	// often the target was full when the stream should go on there.
 	resumes, refusals int
+	// conn is the connection on which the request was sent last, and streamSentAt when that
+	// request was sent whose response was relayed last, on the boot clock. older is a connection
+	// to its target that was opened before; nil if the stream is not continued on one.
+	conn, older  *conn
+	streamSentAt time.Duration
 	// unanswered is set from the first byte that a target gets of the request until its
 	// response is complete, or reports that the request did not run. headReceived is set once
 	// the head of the response has arrived. sentAt is when the request was sent, on the boot
--- a/server/forward/loss.go
+++ b/server/forward/loss.go
@@ -21,6 +21,9 @@
 		// The target was sending its response.
 		return
 	}
+	if kind == quarantine.Silence && result == dispatch.Broken {
+		x.reportBreak()
+	}
 	content := quarantine.Content{Fingerprint: x.fingerprint()}
 	if x.organisation != nil {
 		content.Organisation = x.organisation.Name
--- a/server/forward/pool.go
+++ b/server/forward/pool.go
@@ -48,7 +48,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
+		if c.isUsable() && c.usableFor(requestID) {
 			return c, nil
 		}
 		c.Close()
@@ -70,7 +70,7 @@
 func (p *connPool) hasIdle(target string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[target], func(c *conn) bool { return time.Now().Before(c.idleUntil) && c.isIdle() })
+	return slices.ContainsFunc(p.idle[target], (*conn).isUsable)
 }
 
 // drop closes the idle connections to a target.
@@ -97,6 +97,32 @@
 	return c
 }
 
+// takeOlder removes and returns an idle connection to the target that was opened before a time
+// of the boot clock, or nil. Whoever responds on it is the process that served at that time.
+func (p *connPool) takeOlder(target string, before time.Duration, requestID string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[target]
+	for i, c := range list {
+		if c.openedAt < before && c.isUsable() && c.usableFor(requestID) {
+			p.idle[target] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// restore puts a connection back that was taken but not used.
+func (p *connPool) restore(target string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[target]) >= maxIdlePerTarget {
+		c.Close()
+		return
+	}
+	p.idle[target] = append(p.idle[target], c)
+}
+
 // put returns a connection to the pool after a complete exchange. idle is the
 // target's idle timeout, or 0 if it stated none.
 func (p *connPool) put(target string, c *conn, idle time.Duration) {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -18,15 +18,6 @@
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
-const (
-	// maxResumes bounds how often a broken stream is resumed at the same target.
-	maxResumes = 2
-	// maxFullWaits bounds how often a stream waits for its target to have a free slot. The
-	// ledger pauses the target for 30 ms each time; a target that still generates for the
-	// broken connection notices that with its next event.
-	maxFullWaits = 8
-)
-
 // forward sends the request to the granted target and relays its response. It
 // returns true if the request should be placed at another target.
 func (x *exchange) forward(grant ledgerhost.AdmitResponse) bool {
@@ -36,6 +27,7 @@
 		x.reportDone(grant.Target, dispatch.Unreachable, false)
 		return true
 	}
+	defer x.returnOlder()
 	for x.counted, x.resumes, x.refusals = false, 0, 0; ; {
 		if x.entry.leaving.has(incarnationOf(grant)) {
 			// The leader does not know yet that the target leaves.
@@ -65,7 +57,7 @@
 		if result == dispatch.Broken {
 			x.entry.paths.doubt(grant.Target)
 		}
-		if x.continuesHere(result) {
+		if x.continuesHere(grant, result) {
 			if next, ok := x.admitAgain(grant, result); ok {
 				grant = next
 				continue
@@ -75,27 +67,6 @@
 	}
 }
 
-// continuesHere reports whether a stream should be requested again at the target where it broke
-// off. If the target is full by then, the stream waits for it only if no other may run it.
-func (x *exchange) continuesHere(result dispatch.Result) bool {
-	switch {
-	case !x.resumable():
-		return false
-	case result == dispatch.Broken:
-		x.resumes++
-		return x.resumes <= maxResumes
-	case result == dispatch.NotRun:
-		x.refusals++
-		return x.refusals <= maxFullWaits && !x.mayPlace()
-	}
-	return false
-}
-
-// resumable reports whether a broken stream may be continued after the last event.
-func (x *exchange) resumable() bool {
-	return x.route.Kind == routing.Streaming && x.route.Resumable && x.lastEventID != ""
-}
-
 // handleContextDone ends a request whose deadline has passed or whose caller has
 // disconnected. It always returns false, so that forward can return its result.
 func (x *exchange) handleContextDone(grant ledgerhost.AdmitResponse) bool {
@@ -147,10 +118,15 @@
 	if left <= 0 {
 		return dispatch.Unreachable, errNotSent
 	}
-	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address, x.call.ID)
+	x.granted = grant
+	c, err := x.connection(grant)
+	if errors.Is(err, errOlderClosed) {
+		return dispatch.Broken, err
+	}
 	if err != nil {
 		if x.ctx.Err() == nil {
 			x.entry.paths.failed(grant.Target, err)
+			x.reportRefusal(err)
 		}
 		return dispatch.Unreachable, err
 	}
@@ -167,9 +143,10 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
-	x.granted = grant
 	out := x.newTargetRequest(grant)
 	x.record.sends++
+	x.conn = c
+	sendingAt := bootclock.Now()
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
@@ -189,6 +166,7 @@
 	}
 	x.entry.paths.end(w)
 	x.entry.paths.heard(grant.Target)
+	x.entry.options.Ledger.ReportServing(incarnationOf(grant), c.openedAt, sendingAt)
 	x.headReceived = true
 	x.observeLeaving(incarnationOf(grant), info.Leaving)
 	x.observeLimit(info)
@@ -205,6 +183,7 @@
 		return dispatch.Broken, info, false, errUnsigned
 	}
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
+		x.streamSentAt = sendingAt
 		result, err = x.relayStream(response)
 		x.streamed = result == dispatch.Completed
 	} else {
--- a/server/forward/site_test.go
+++ b/server/forward/site_test.go
@@ -89,10 +89,13 @@
 	return l.losses
 }
 
-func (l *sharedLedger) ReportLeaving(catalog.Incarnation)             {}
-func (l *sharedLedger) Confirm(context.Context, ledger.Reserve) error { return nil }
-func (l *sharedLedger) ObserveRate(ledgerhost.RateObservation)        {}
-func (l *sharedLedger) Keep(context.Context, history.Keep) error      { return nil }
+func (l *sharedLedger) ReportLeaving(catalog.Incarnation)                               {}
+func (l *sharedLedger) ReportBreak(catalog.Incarnation, time.Duration)                  {}
+func (l *sharedLedger) InDoubt(catalog.Incarnation) bool                                { return false }
+func (l *sharedLedger) ReportServing(catalog.Incarnation, time.Duration, time.Duration) {}
+func (l *sharedLedger) Confirm(context.Context, ledger.Reserve) error                   { return nil }
+func (l *sharedLedger) ObserveRate(ledgerhost.RateObservation)                          {}
+func (l *sharedLedger) Keep(context.Context, history.Keep) error                        { return nil }
 
 // countingTarget answers requests and counts how often it ran each.
 type countingTarget struct {
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -91,6 +91,7 @@
 	controller := http.NewResponseController(x.writer)
 	heardAt := time.Now()
 	for {
+		drainedAt := x.drainedAt(reader)
 		e, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
 			if !x.responseStarted {
@@ -101,6 +102,7 @@
 		if err != nil {
 			return dispatch.Broken, err
 		}
+		x.reportSending(drainedAt)
 		if time.Since(heardAt) > heardInterval {
 			heardAt = time.Now()
 			x.entry.paths.heard(x.granted.Target)
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -77,6 +77,8 @@
 	origins knownOrigins
 	// losses are the latest responses that this entry lost.
 	losses knownLosses
+	// breaks are those of connections of this entry to targets.
+	breaks knownBreaks
 	// leaving are the targets that have stated to this entry that they leave.
 	leaving ledger.LeavingTargets
 	// earlier holds the store VMs that are tried in the form of an earlier release next.
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -131,12 +131,30 @@
 	if err != nil {
 		return err
 	}
+	return l.write(message)
+}
+
+// sendAdmission writes an admission request, after its announcement if there is one.
+func (l *clientLink) sendAdmission(r *AdmitRequest) error {
+	message, err := l.form.encode(kindAdmit, r)
+	if err == nil && r.SameProcess {
+		var announcement []byte
+		announcement, err = l.form.encode(kindSameProcess, &sameProcess{r.ID, r.Attempt})
+		message = append(announcement, message...)
+	}
+	if err != nil {
+		return err
+	}
+	return l.write(message)
+}
+
+func (l *clientLink) write(message []byte) error {
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(silenceTimeout)); err != nil {
 		return err
 	}
-	_, err = l.conn.Write(message)
+	_, err := l.conn.Write(message)
 	return err
 }
 
@@ -226,7 +244,7 @@
 		defer l.mu.Unlock()
 		delete(l.pendingAdmissions, key)
 	}()
-	if err := l.send(kindAdmit, &r); err != nil {
+	if err := l.sendAdmission(&r); err != nil {
 		return AdmitResponse{}, err
 	}
 	select {
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -64,6 +64,8 @@
 	Copies int
 	// Copier makes store VMs copy histories; nil if histories are not copied.
 	Copier Copier
+	// Heartbeats asks control for the latest heartbeats of targets; nil if it can't be asked.
+	Heartbeats func(ctx context.Context, targets []string) ([]registry.Heartbeat, registry.HeartbeatsAnswer)
 	// Seed initialises the dispatcher's random numbers.
 	Seed uint64
 	// Log receives events and one line for each admission.
@@ -144,6 +146,7 @@
 	go h.runDecider(ctx)
 	go periodic.Every(ctx, tickInterval, h.tick)
 	go periodic.Every(ctx, sweepInterval, h.sweep)
+	go periodic.Every(ctx, heartbeatPollInterval, func() { h.pollHeartbeats(ctx) })
 	go periodic.Every(ctx, copyInterval, func() { h.restoreCopies(ctx) })
 	periodic.Every(ctx, leaseInterval, func() { h.renewLease(ctx) })
 }
@@ -176,7 +179,7 @@
 	view := h.options.View()
 	targets := make([]dispatch.Target, 0, len(view.Targets))
 	for _, t := range view.Targets {
-		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: h.leaves(t)}
+		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Started: t.StartedUnixMS, Slots: t.Slots, Draining: h.leaves(t)}
 		if view.Table != nil {
 			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -33,6 +33,8 @@
 	closed chan struct{}
 	// leadership is the one to which the entry has introduced itself; nil before.
 	leadership atomic.Pointer[leadership]
+	// announced is the latest announcement of a request; nil after the request.
+	announced *sameProcess
 	// statedShare and statedAt describe the latest load report to the entry.
 	statedShare float64
 	statedAt    time.Duration
@@ -209,8 +211,15 @@
 		return nil
 	case kindNewRelease:
 		return l.conn.Close()
+	case kindSameProcess:
+		return handleMessage(payload, func(a sameProcess) { l.announced = &a })
 	case kindAdmit:
-		return handleMessage(payload, func(r AdmitRequest) { h.receive(r, l) })
+		announced := l.announced
+		l.announced = nil
+		return handleMessage(payload, func(r AdmitRequest) {
+			r.SameProcess = announced != nil && *announced == sameProcess{r.ID, r.Attempt}
+			h.receive(r, l)
+		})
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -241,7 +250,14 @@
 	case kindLeaving:
 		return handleMessage(payload, func(targets []catalog.Incarnation) { h.recordLeaving(l.entryHost(), targets) })
 	case kindLosses:
-		return handleMessage(payload, func(losses []LossReport) { h.recordLosses(l.entryHost(), losses) })
+		return handleMessage(payload, func(losses []LossReport) {
+			h.recordLosses(l.entryHost(), losses)
+			h.doubtLosses(l.reporter(), losses)
+		})
+	case kindBreaks:
+		return handleMessage(payload, func(breaks []processBreak) { h.recordBreaks(l.reporter(), breaks) })
+	case kindServing:
+		return handleMessage(payload, func(serving []catalog.Incarnation) { h.recordServing(l.reporter(), serving) })
 	case kindOrigins:
 		return handleMessage(payload, h.recordOrigins)
 	}
--- a/server/ledger/losses.go
+++ b/server/ledger/losses.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/quarantine"
+	"hemlockvale.dev/server/bootclock"
 )
 
 // maxKnownLosses bounds the lost responses that an entry remembers.
@@ -57,6 +58,10 @@
 func (c *Client) ReportLoss(r LossReport) {
 	c.mu.Lock()
 	c.losses.add(r)
+	if r.Kind == quarantine.Disconnected {
+		now := bootclock.Now()
+		c.breaks.add(r.Incarnation, now-r.Ran, now)
+	}
 	l := c.link
 	c.startReconnect()
 	c.mu.Unlock()
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -63,6 +63,13 @@
 	// earlier release, knows the current one. Earlier releases ignore it; others close the
 	// connection.
 	kindNewRelease
+	// kindBreaks reports connections to targets that were refused or broke off, and repeats
+	// them to a new leader. Earlier builds ignore it, and the next two.
+	kindBreaks
+	// kindServing reports incarnations that have survived the breaks which the entry noticed.
+	kindServing
+	// kindSameProcess announces an admission request with AdmitRequest.SameProcess.
+	kindSameProcess
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
--- a/server/ledger/reconnect.go
+++ b/server/ledger/reconnect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/quarantine"
+	"hemlockvale.dev/server/bootclock"
 )
 
 const (
@@ -63,7 +64,19 @@
 		}
 	}
 	if losses := c.losses.reports(); len(losses) > 0 {
-		return l.send(kindLosses, losses)
+		if err := l.send(kindLosses, losses); err != nil {
+			return err
+		}
+	}
+	open, serving := c.breaks.reports(bootclock.Now())
+	if len(open) > 0 {
+		if err := l.send(kindBreaks, open); err != nil {
+			return err
+		}
+	}
+	if len(serving) > 0 {
+		// The losses may have raised doubts that are settled.
+		return l.send(kindServing, serving)
 	}
 	return nil
 }
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -130,7 +130,7 @@
 	self := q.Self().Storage
 	storage.Store(&self)
 	h := ledger.New(ledger.Options{
-		Quorum: q, Machine: machine, View: follower.View, Stores: follower.HistoryStores, Copies: p.historyCopies(), Copier: historyClient,
+		Quorum: q, Machine: machine, View: follower.View, Stores: follower.HistoryStores, Copies: p.historyCopies(), Copier: historyClient, Heartbeats: follower.Heartbeats,
 		Seed: xxhash.Sum64String(p.Settings.VM.ID), Log: p.Log, Metrics: p.metrics,
 	})
 	host.Store(h)
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -26,6 +26,8 @@
 	MethodDocument = "registry.document"
 	// MethodEntries returns entries that can reach targets.
 	MethodEntries = "registry.entries"
+	// MethodHeartbeats returns the latest heartbeats of targets.
+	MethodHeartbeats = "registry.heartbeats"
 	// MethodRetire asks the leader to move all replicas off a store VM.
 	MethodRetire = "registry.retire"
 )
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -88,6 +88,8 @@
 type Registry struct {
 	options Options
 	started time.Time
+	// heartbeats are those that targets have sent to this VM.
+	heartbeats heartbeatLog
 	// retireMu is held while a retirement is checked and committed.
 	retireMu sync.Mutex
 
@@ -126,6 +128,7 @@
 	s.Handle(MethodDocument, g.handleDocument)
 	s.Handle(MethodRetire, g.handleRetire)
 	s.Handle(MethodEntries, g.handleEntries)
+	s.Handle(MethodHeartbeats, g.handleHeartbeats)
 }
 
 // Run runs the leader's tasks, while this VM is the leader, until ctx ends.
@@ -161,6 +164,7 @@
 	if err := t.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidTarget, err)
 	}
+	g.heartbeats.record(time.Now(), t)
 	wouldChange := false
 	g.options.Machine.read(func(s *catalog.State) { wouldChange = s.WouldChange(t) })
 	if !wouldChange {
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -45,6 +45,9 @@
 // executed it. After any other transport failure the outcome is unknown.
 var ErrUnreachable = errors.New("peer unreachable")
 
+// ErrMethodUnknown reports that the peer, which is of an earlier build, does not know the method.
+var ErrMethodUnknown = errors.New("peer does not know the method")
+
 // ErrConnectionLost reports that the connection failed after the request may have been
 // delivered.
 var ErrConnectionLost = errors.New("connection lost, outcome unknown")
--- a/server/rpc/server.go
+++ b/server/rpc/server.go
@@ -218,7 +218,11 @@
 			return &typed
 		}
 	}
-	return &Error{Code: "internal", Message: rpcErr.Message}
+	err = &Error{Code: "internal", Message: rpcErr.Message}
+	if rpcErr.Code == methodNotFoundCode {
+		return fmt.Errorf("%w: %w", ErrMethodUnknown, err)
+	}
+	return err
 }
 
 // ignoreClosed returns nil if err only reports that the connection was already closed.
