--- a/server/registry/heartbeats_test.go
+++ b/server/registry/heartbeats_test.go
@@ -3,13 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hemlockvale.dev/coord/catalog"
+	"hemlockvale.dev/server/rpc"
 )
 
 func beatOf(id string, started, sequence int64) catalog.Target {
@@ -57,3 +61,42 @@
 	_, err = g.handleHeartbeats(t.Context(), []byte("{"))
 	assert.Error(t, err)
 }
+
+// TestControlVMsThatCannotTell guards against control VMs of earlier builds, which do not know the
+// question, that pass for ones without heartbeats, or for ones that can't be reached.
+func TestControlVMsThatCannotTell(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := rpc.NewPool(time.Second)
+	defer pool.Close()
+	start := func(register func(*rpc.Server)) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := rpc.NewServer(logrus.NewEntry(log))
+		register(server)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { server.Close() })
+		return listener.Addr().String()
+	}
+	g := New(Options{})
+	g.heartbeats.record(time.Now(), beatOf("t", 1, 4))
+	earlier, current := start(func(*rpc.Server) {}), start(g.Register)
+	for _, c := range []struct {
+		controlVMs []string
+		answer     HeartbeatsAnswer
+		heartbeats int
+	}{
+		{nil, HeartbeatsUnanswered, 0},
+		{[]string{"127.0.0.1:1"}, HeartbeatsUnanswered, 0},
+		{[]string{earlier, "127.0.0.1:1"}, HeartbeatsUnknown, 0},
+		{[]string{earlier, current}, HeartbeatsAnswered, 1},
+	} {
+		f := NewFollower(FollowerOptions{Pool: pool})
+		for _, address := range c.controlVMs {
+			f.setReachable(address, true)
+		}
+		heartbeats, answer := f.Heartbeats(t.Context(), []string{"t"})
+		assert.Equal(t, c.answer, answer)
+		assert.Len(t, heartbeats, c.heartbeats)
+	}
+}
