forward: an older connection shows the process only of the target that generated the stream

A stream that broke off at a second target before its response began was announced there as one of the same process, if the entry had a connection that was older than the stream's beginning at the first target. TestOlderConnectionsAreThoseOfTheSameTarget failed before.

--- a/server/forward/continue_test.go
+++ b/server/forward/continue_test.go
@@ -109,6 +109,43 @@
 	assert.Less(t, evidence.openedAt, l.serving[0].aliveAt, "the connection is older than the broken request")
 }
 
+// TestOlderConnectionsAreThoseOfTheSameTarget guards against a stream that is taken for one of the
+// process at the second target, although that has not responded to it.
+func TestOlderConnectionsAreThoseOfTheSameTarget(t *testing.T) {
+	both := make(chan struct{}, 2)
+	release := make(chan struct{})
+	second := startGatedTarget(t, func(c net.Conn, _, request int) {
+		if request >= 2 {
+			c.Close()
+			return
+		}
+		both <- struct{}{}
+		<-release
+		_, _ = io.WriteString(c, streamHeader+chunk(eventText(1))+"0\r\n\r\n")
+	})
+	first := startFakeTarget(t, streamHeader+chunk(eventText(1))+"<cut>", "<cut>", "<cut>")
+	l := &testLedger{targets: []string{second.address, second.address, first.address, second.address}, software: "v1"}
+	server := startEntry(t, l, true)
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { _, _, _ = post(t, server, "/retried/x") })
+	}
+	<-both
+	<-both
+	close(release)
+	wg.Wait()
+	_, _, err := post(t, server, "/retried/x")
+	assert.Error(t, err)
+	again := 0
+	for _, r := range l.admitted() {
+		if r.Target == "t-"+second.address {
+			again++
+			assert.False(t, r.SameProcess)
+		}
+	}
+	assert.Equal(t, 2, again)
+}
+
 // TestNewerConnectionsProveNothing guards against a stream that is continued on a connection
 // which was opened after it began, perhaps to a later process under the same id, as if that were
 // certainly the same one.
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	defer x.returnOlder()
-	for x.counted, x.resumes, x.refusals = false, 0, 0; ; {
+	for x.counted, x.resumes, x.refusals, x.streamSentAt = false, 0, 0, 0; ; {
 		if x.entry.leaving.has(incarnationOf(grant)) {
 			// The leader does not know yet that the target leaves.
 			return x.handleFailure(grant, dispatch.Leaving)
