--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -82,6 +82,15 @@
 	ReportLeaving(i catalog.Incarnation)
 	// ReportLoss records that the response to a request was lost.
 	ReportLoss(r ledgerhost.LossReport)
+	// ReportBreak records that a connection to a target failed while it served a request that
+	// was granted at the time grantedAt of the boot clock.
+	ReportBreak(i catalog.Incarnation, grantedAt time.Duration)
+	// InDoubt reports whether a connection to a target failed, and nothing has shown since that
+	// its process is the same.
+	InDoubt(i catalog.Incarnation) bool
+	// ReportServing records that a target responds on a connection that was opened at the time
+	// openedAt, to what it was sent at the time aliveAt or later.
+	ReportServing(i catalog.Incarnation, openedAt, aliveAt time.Duration)
 	// Keep returns nil once the directory of histories durably has the holders of a turn.
 	Keep(ctx context.Context, k history.Keep) error
 }
@@ -203,6 +212,18 @@
 	// mayHaveRun is set when a target gets the request and does not report that it did
 	// not run it. It is never cleared: a later target knows nothing about an earlier one.
 	mayHaveRun bool
+	// ranAt is the number of targets of this entry that may have run the request, and counted
+	// is set once the current one is among them.
+	ranAt   int
+	counted bool
+	// resumes and refusals are how often the stream broke off at the current target, and how
+	// often the target was full when the stream should go on there.
+	resumes, refusals int
+	// conn is the connection on which the request was sent last, and streamSentAt when that
+	// request was sent whose response was relayed last, on the boot clock. older is a connection
+	// to its target that was opened before; nil if the stream is not continued on one.
+	conn, older  *conn
+	streamSentAt time.Duration
 	// unanswered is set from the first byte that a target gets of the request until its
 	// response is complete, or reports that the request did not run. headReceived is set once
 	// the head of the response has arrived. sentAt is when the request was sent, on the boot
@@ -305,6 +326,12 @@
 			}
 			x.ignorePaths = true
 		}
+		if !x.mayPlace() {
+			// Another entry passed the request on after as many targets as allowed.
+			x.settle()
+			x.failRequest()
+			return
+		}
 		grant, ok := x.admit()
 		if !ok {
 			return
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -18,9 +18,6 @@
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
-// maxResumes bounds how often a broken stream is resumed at the same target.
-const maxResumes = 2
-
 // forward sends the request to the granted target and relays its response. It
 // returns true if the request should be placed at another target.
 func (x *exchange) forward(grant ledgerhost.AdmitResponse) bool {
@@ -30,7 +27,8 @@
 		x.reportDone(grant.Target, dispatch.Unreachable, false)
 		return true
 	}
-	for resumed := 0; ; resumed++ {
+	defer x.returnOlder()
+	for x.counted, x.resumes, x.refusals, x.streamSentAt = false, 0, 0, 0; ; {
 		if x.leaves(grant) {
 			// The leader does not know yet that the target leaves.
 			return x.handleFailure(grant, dispatch.Leaving)
@@ -59,8 +57,8 @@
 		if result == dispatch.Broken {
 			x.entry.paths.doubt(grant.Target)
 		}
-		if result == dispatch.Broken && x.resumable() && resumed < maxResumes {
-			if next, ok := x.admitAgain(grant); ok {
+		if x.continuesHere(grant, result) {
+			if next, ok := x.admitAgain(grant, result); ok {
 				grant = next
 				continue
 			}
@@ -69,11 +67,6 @@
 	}
 }
 
-// resumable reports whether a broken stream may be continued after the last event.
-func (x *exchange) resumable() bool {
-	return x.route.Kind == routing.Streaming && x.route.Resumable && x.lastEventID != ""
-}
-
 // handleContextDone ends a request whose deadline has passed or whose caller has
 // disconnected. It always returns false, so that forward can return its result.
 func (x *exchange) handleContextDone(grant ledgerhost.AdmitResponse) bool {
@@ -92,7 +85,7 @@
 	// The leader grants a target that was declined before only if it knows no other one.
 	noOther := result == dispatch.Leaving && slices.Contains(x.record.outcomes, outcome{grant.Target, dispatch.Leaving})
 	x.excludedTargets = append(x.excludedTargets, grant.Target)
-	retry := !noOther && (result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry()))
+	retry := !noOther && x.mayPlace()
 	x.reportDone(grant.Target, result, !retry)
 	if !retry {
 		x.failRequest()
@@ -100,10 +93,21 @@
 	return retry
 }
 
-// mayRetry reports whether the request may run at one more target. Only attempts
-// that may have run count against the route's limit.
-func (x *exchange) mayRetry() bool {
-	return x.runs()+1 < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
+// mayPlace reports whether the request may be placed at a target, or at one more. Only targets
+// that may have run it count against the route's limit.
+func (x *exchange) mayPlace() bool {
+	runs := x.runs()
+	return runs == 0 || x.route.Repeatable() && runs < x.route.MaxAttempts && !(x.responseStarted && !x.resumable())
+}
+
+// countRun records that the current target may have run the request. A stream that is requested
+// there again counts once.
+func (x *exchange) countRun() {
+	x.mayHaveRun = true
+	if !x.counted {
+		x.counted = true
+		x.ranAt++
+	}
 }
 
 // errUnsigned is returned for a response with a status below 300 that does not carry the
@@ -116,10 +120,15 @@
 	if left <= 0 {
 		return dispatch.Unreachable, errNotSent
 	}
-	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address, x.call.ID)
+	x.granted = grant
+	c, err := x.connection(grant)
+	if errors.Is(err, errOlderClosed) {
+		return dispatch.Broken, err
+	}
 	if err != nil {
 		if x.ctx.Err() == nil {
 			x.entry.paths.failed(grant.Target, err)
+			x.reportRefusal(err)
 		}
 		return dispatch.Unreachable, err
 	}
@@ -140,10 +149,11 @@
 		// The target has left while the history was read or the connection was opened.
 		return dispatch.Leaving, info, false, nil
 	}
-	x.granted = grant
 	x.expectResponse(grant.Target)
 	out := x.newTargetRequest(grant)
 	x.record.sends++
+	x.conn = c
+	sendingAt := bootclock.Now()
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
@@ -151,12 +161,12 @@
 	w := x.entry.paths.await(grant.Target, c, x.route.Repeatable())
 	defer x.entry.paths.end(w)
 	if err != nil {
-		x.mayHaveRun = true
+		x.countRun()
 		return dispatch.Broken, info, false, err
 	}
 	response, info, err := c.receive(out, x.entry.options.HeaderCodec, x.reserveResponse)
 	if err != nil || !info.NotRun {
-		x.mayHaveRun = true
+		x.countRun()
 	}
 	if err != nil {
 		x.countClosed(err)
@@ -164,6 +174,7 @@
 	}
 	x.entry.paths.end(w)
 	x.entry.paths.heard(grant.Target)
+	x.entry.options.Ledger.ReportServing(incarnationOf(grant), c.openedAt, sendingAt)
 	x.headReceived = true
 	x.observeLeaving(incarnationOf(grant), info.Leaving)
 	x.observeLimit(info)
@@ -180,6 +191,7 @@
 		return dispatch.Broken, info, false, errUnsigned
 	}
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
+		x.streamSentAt = sendingAt
 		result, err = x.relayStream(response)
 		x.streamed = result == dispatch.Completed
 	} else {
--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -110,6 +110,7 @@
 	heardAt := time.Now()
 	for {
 		x.releaseEvent()
+		drainedAt := x.drainedAt(reader)
 		e, err := readEvent(reader, x.reserveEvent)
 		if errors.Is(err, io.EOF) {
 			if !x.responseStarted {
@@ -121,6 +122,7 @@
 			x.countClosed(err)
 			return lostResult(err), err
 		}
+		x.reportSending(drainedAt)
 		if time.Since(heardAt) > heardInterval {
 			heardAt = time.Now()
 			x.entry.paths.heard(x.granted.Target)
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -66,6 +66,13 @@
 	// kindCatalogRevision states the revision of the leader's catalog for the grants that
 	// follow, before the first one and when it has changed. Earlier releases ignore it.
 	kindCatalogRevision
+	// kindBreaks reports connections to targets that were refused or broke off, and repeats
+	// them to a new leader. Earlier builds ignore it, and the next two.
+	kindBreaks
+	// kindServing reports incarnations that have survived the breaks which the entry noticed.
+	kindServing
+	// kindSameProcess announces an admission request with AdmitRequest.SameProcess.
+	kindSameProcess
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
