Entry: a request whose targets have all left ends after one decline of each

Cause: a declined target is excluded and suspect. The dispatcher ranked a suspect target alike whether the request excludes it or not, so it could be granted again although another suspect one was left; and if all targets of a service have left, a request cost the leader six placements before its 503.

Change: excluded and suspect is a class of its own, behind suspect. A request that is granted a target which it has declined before ends as not run.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -222,6 +222,21 @@
 	assert.Equal(t, declined, d.Admit(minSuspectTime, request("later")).Target, "the other target is busy")
 }
 
+// TestDeclinedTargetIsNotGrantedAgain guards against a request that is granted at the target which
+// it has been declined for, although there is another one that is suspect as well.
+func TestDeclinedTargetIsNotGrantedAgain(t *testing.T) {
+	for seed := range uint64(20) {
+		d := New(0, seed)
+		d.SetTargets(0, targets(2, 4))
+		d.Done(0, "unreachable", "t1", Unreachable, 0)
+		require.Equal(t, "t0", d.Admit(0, request("r")).Target)
+		d.Done(0, "r", "t0", Leaving, 0)
+		again := request("r")
+		again.Exclude = []string{"t0"}
+		assert.Equal(t, "t1", d.Admit(0, again).Target)
+	}
+}
+
 // TestLostReportAndRepeatedRequest guards against a grant that keeps its slot forever
 // because its done report was lost, and against a repeated request that is granted two
 // slots.
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -101,18 +101,24 @@
 	// suspected targets were recently unreachable or broke off several answers in a
 	// row.
 	suspected
+	// suspectedExcluded targets are both.
+	suspectedExcluded
 	// unusable targets are draining.
 	unusable
 )
 
 // classFor returns the class of the target for a request.
 func (t *target) classFor(now time.Duration, r *Request) targetClass {
-	switch {
-	case t.Draining:
+	if t.Draining {
 		return unusable
+	}
+	isExcluded := slices.Contains(r.Exclude, t.ID)
+	switch {
+	case t.isSuspect(now) && isExcluded:
+		return suspectedExcluded
 	case t.isSuspect(now):
 		return suspected
-	case slices.Contains(r.Exclude, t.ID):
+	case isExcluded:
 		return excluded
 	}
 	return healthy
--- a/server/forward/mayreceive_test.go
+++ b/server/forward/mayreceive_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// TestDeclinedTargetIsNotAskedForAgain guards against a request that costs the leader six
+// placements because all targets of the service have left: the leader grants a target that the
+// request excludes only if it knows no other one.
+func TestDeclinedTargetIsNotAskedForAgain(t *testing.T) {
+	l := &testLedger{revision: 1, targets: []string{"a", "b", "a", "b", "a", "b"}}
+	server, view := startEntryWithView(t, l)
+	view.set(2)
+	status, _, err := post(t, server, "/once/x")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, status, "refused as not run")
+	assert.Equal(t, "leaving,leaving,leaving", l.results(), "each grant is given back")
+}
+
 // TestCatalogIsCheckedBeforeEachSend guards against a stream that is continued at a target which
 // has left while the request was in progress, because the request keeps the view of its start.
 func TestCatalogIsCheckedBeforeEachSend(t *testing.T) {
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -89,8 +90,10 @@
 // handleFailure excludes a target at which the request failed. It returns true if
 // the request should be placed at another target.
 func (x *exchange) handleFailure(grant ledgerhost.AdmitResponse, result dispatch.Result) bool {
+	// The leader grants a target that was declined before only if it knows no other one.
+	noOther := result == dispatch.Leaving && slices.Contains(x.record.outcomes, outcome{grant.Target, dispatch.Leaving})
 	x.excludedTargets = append(x.excludedTargets, grant.Target)
-	retry := result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry())
+	retry := !noOther && (result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry()))
 	x.reportDone(grant.Target, result, !retry)
 	if !retry {
 		x.failRequest()
