Evacuation of data centres and its end

Cause: operators had no way to keep requests away from the targets of a data centre, except by draining each target.

Change: the catalog holds the evacuated data centres, changed by a command in the control group's log. Transfers, the view and the stored copy of store VMs have the set under a revision of its own, so that control VMs of an earlier release, which don't send it, neither hide an order nor take one back. The leader of the store group grants nothing there and refuses or places waiting requests elsewhere; an entry checks its latest view immediately before each send.

--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -97,7 +97,7 @@
 	flags.StringVar(&o.output, "output", "table", "output format: table or json")
 	root.AddCommand(
 		applyCommand(o), organisationCommand(o), profileCommand(o), serviceCommand(o), keyCommand(o), targetCommand(o),
-		vmCommand(o), statusCommand(o), quorumCommand(o), programCommand(o), turnCommand(o), quarantineCommand(o), loadCommand(o), emulateCommand(),
+		vmCommand(o), statusCommand(o), quorumCommand(o), programCommand(o), turnCommand(o), quarantineCommand(o), evacuationCommand(o), loadCommand(o), emulateCommand(),
 	)
 	return root
 }
--- a/cmd/hemlockctl/stores.go
+++ b/cmd/hemlockctl/stores.go
@@ -11,7 +11,7 @@
 	"hemlockvale.dev/server/rpc"
 )
 
-// storeDialTimeout bounds a connection attempt to a store VM.
+// storeDialTimeout bounds a connection attempt to a store or control VM.
 const storeDialTimeout = time.Second
 
 // addStoreFlag adds the flag for the addresses of store VMs.
@@ -25,10 +25,15 @@
 	if len(stores) == 0 {
 		return usageError{errors.New("no store VM: use --store")}
 	}
+	return askLeader(ctx, stores, method, params, response)
+}
+
+// askLeader calls a method of the VMs at the addresses in order until one responds.
+func askLeader(ctx context.Context, addresses []string, method string, params, response any) error {
 	pool := rpc.NewPool(storeDialTimeout)
 	defer pool.Close()
 	var errs []error
-	for _, address := range stores {
+	for _, address := range addresses {
 		err := pool.Call(ctx, address, method, params, response)
 		if err == nil {
 			return nil
--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -7,6 +7,7 @@
 //     version never changes.
 //   - Of two incarnations at the same address, the later one is kept.
 //   - An incarnation of a target that is gone stays gone.
+//   - The latest order in the log determines whether a data centre is evacuated.
 package catalog
 
 import (
@@ -91,6 +92,9 @@
 	FormStores []Store `json:"form_stores,omitempty"`
 	// Retire records the progress of a retirement.
 	Retire *Retirement `json:"retire,omitempty"`
+	// Evacuate starts or ends the evacuation of a data centre. The encoded command also has
+	// the order as a Retire, for earlier releases; Evacuate takes precedence.
+	Evacuate *Evacuation `json:"evacuate,omitempty"`
 }
 
 // PutConfiguration is a change that replaces the configuration by one of a higher
@@ -134,16 +138,22 @@
 	Stores []Store `json:"stores,omitempty"`
 	// Retirements holds the retirements of store VMs by VM id.
 	Retirements map[string]Retirement `json:"retirements,omitempty"`
+	// Evacuations holds the log index of the order by evacuated data centre.
+	// EvacuationRevision is the log index of the last change of this map, or a later one.
+	Evacuations        map[string]uint64 `json:"evacuations,omitempty"`
+	EvacuationRevision uint64            `json:"evacuation_revision"`
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{Targets: make(map[string]Target), ChangeRevisions: make(map[string]uint64), Retirements: make(map[string]Retirement)}
+	return &State{Targets: make(map[string]Target), ChangeRevisions: make(map[string]uint64), Retirements: make(map[string]Retirement), Evacuations: make(map[string]uint64)}
 }
 
 // Apply executes a committed command; index is its position in the log.
 func (s *State) Apply(index uint64, c Command) {
 	switch {
+	case c.Evacuate != nil:
+		s.applyEvacuation(index, *c.Evacuate)
 	case c.PutConfiguration != nil:
 		s.putConfiguration(index, c.PutConfiguration)
 	case c.PutTarget != nil:
@@ -272,7 +282,11 @@
 }
 
 // Snapshot returns the encoded state.
-func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+func (s *State) Snapshot() ([]byte, error) {
+	encoded := *s
+	encoded.Retirements = s.withCarriers()
+	return json.Marshal(encoded)
+}
 
 // Restore replaces the state by one that Snapshot encoded.
 func (s *State) Restore(data []byte) error {
@@ -289,6 +303,13 @@
 		}
 		restored.RemovedRevision = restored.Revision
 	}
+	var written struct {
+		EvacuationRevision *uint64 `json:"evacuation_revision"`
+	}
+	if err := json.Unmarshal(data, &written); err != nil {
+		return fmt.Errorf("decode catalog snapshot: %w", err)
+	}
+	restored.takeCarriers(written.EvacuationRevision == nil)
 	*s = *restored
 	return nil
 }
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -133,7 +133,7 @@
 	}
 	if !d.hasTarget(&r) {
 		d.refund(r.Organisation)
-		return Outcome{ID: r.ID, Refusal: NoTarget, RetryAfter: d.withJitter(noTargetRetryAfter)}
+		return Outcome{ID: r.ID, Refusal: d.noTargetRefusal(r.Service), RetryAfter: d.withJitter(noTargetRetryAfter)}
 	}
 	if len(r.Unreachable) > 0 && !d.hasReachableTarget(&r) {
 		if d.hasHealthyTarget(now, &r) {
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -79,6 +79,15 @@
 	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
 }
 
+// noTargetRefusal returns the refusal of a request whose service has no target that accepts
+// requests.
+func (d *Dispatcher) noTargetRefusal(service string) Refusal {
+	if slices.ContainsFunc(d.targetsByService[service], func(t *target) bool { return t.Evacuated }) && !d.acceptsRequests(service) {
+		return Evacuated
+	}
+	return NoTarget
+}
+
 // hasReachableTarget reports whether the sending VM can reach a target that may get the
 // request.
 func (d *Dispatcher) hasReachableTarget(r *Request) bool {
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -236,7 +236,7 @@
 func (d *Dispatcher) refuseWithoutTarget(now time.Duration, w *waitingRequest) Outcome {
 	o := Outcome{ID: w.request.ID, Refusal: SoftwareGone, Waited: now - w.queuedAt}
 	if w.request.Origin == nil {
-		o.Refusal, o.RetryAfter = NoTarget, d.withJitter(noTargetRetryAfter)
+		o.Refusal, o.RetryAfter = d.noTargetRefusal(w.request.Service), d.withJitter(noTargetRetryAfter)
 	}
 	return o
 }
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -37,6 +37,8 @@
 	KVCapacity int64
 	// Draining is set while the target gets no new requests.
 	Draining bool
+	// Evacuated is set, in addition to Draining, while its data centre is evacuated.
+	Evacuated bool
 }
 
 // Part is a section of a prompt that several requests may share.
@@ -146,6 +148,8 @@
 	OverRate Refusal = "over_rate"
 	// NoTarget means that no target of the service is known.
 	NoTarget Refusal = "no_target"
+	// Evacuated means that the only targets of the service are in evacuated data centres.
+	Evacuated Refusal = "evacuated"
 	// SoftwareGone means that no target with the software that began the stream accepts
 	// requests. The caller has to start over.
 	SoftwareGone Refusal = "software_gone"
@@ -205,6 +209,9 @@
 	// Leaving means that the request was not sent, because the target has stated that it
 	// leaves.
 	Leaving Result = "leaving"
+	// NotSentEvacuated means that the request was not sent, because the target's data centre is
+	// evacuated.
+	NotSentEvacuated Result = "evacuated"
 	// Broken means that the answer was lost or incomplete.
 	Broken Result = "broken"
 	// Abandoned means that the caller disconnected or its time ran out.
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -88,6 +88,8 @@
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
 	refuseResumes bool
+	// onAdmit is called with the number of admissions so far; it may be nil.
+	onAdmit func(n int)
 }
 
 func (l *testLedger) ObserveRate(o ledgerhost.RateObservation) {
@@ -114,6 +116,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.admissions = append(l.admissions, r)
+	if l.onAdmit != nil {
+		l.onAdmit(len(l.admissions))
+	}
 	if r.Target != "" {
 		if l.refuseResumes {
 			return ledgerhost.AdmitResponse{Refusal: dispatch.NoTarget}, nil
@@ -278,6 +283,13 @@
 }
 
 func startEntryWith(t *testing.T, l *testLedger, current bool, h *testHistories) *httptest.Server {
+	t.Helper()
+	return startEntryWithView(t, l, current, h, func(v registry.View) *registry.View { return &v })
+}
+
+// startEntryWithView starts an entry whose latest view is what latest returns for a view without
+// targets.
+func startEntryWithView(t *testing.T, l *testLedger, current bool, h *testHistories, latest func(registry.View) *registry.View) *httptest.Server {
 	t.Helper()
 	destination := []routing.Destination{{Service: "plain", Weight: 1}}
 	engine := []routing.Destination{{Service: "engine", Weight: 1}}
@@ -295,11 +307,11 @@
 		},
 		Organisations: []routing.Organisation{{Name: "o", Keys: []string{"k"}}},
 	})
-	view := &registry.View{Table: table, Targets: []catalog.Target{}}
+	view := registry.View{Table: table, Targets: []catalog.Target{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e := New(Options{
-		View: func() *registry.View { return view }, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
+		View: func() *registry.View { return latest(view) }, Current: func() bool { return current }, Age: func() time.Duration { return 0 },
 		Ledger: l, Histories: h, HistoryCopies: 2, HeaderCodec: testCodec{},
 		HistoryStores: func() []history.Store {
 			return []history.Store{{Storage: "a", Address: "a:1", DataCentre: "x"}, {Storage: "b", Address: "b:1", DataCentre: "y"}, {Storage: "c", Address: "c:1", DataCentre: "z"}}
@@ -314,7 +326,13 @@
 // returns the status and the body of the response.
 func post(t *testing.T, server *httptest.Server, path string, headers ...string) (int, string, error) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader("body"))
+	return postTo(t, server.URL, path, headers...)
+}
+
+// postTo is post to the entry at a URL.
+func postTo(t *testing.T, url, path string, headers ...string) (int, string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("body"))
 	require.NoError(t, err)
 	request.Header.Set("Id", "r")
 	request.Header.Set("Key", "k")
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -127,6 +127,7 @@
 	paths   *paths
 	peers   peers
 	leaving leavingTargets
+	sends   sendCounters
 	active  atomic.Int64
 	// ending ends when requests in progress must end; endRequests ends it.
 	ending      context.Context
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -114,6 +114,9 @@
 	if left <= 0 {
 		return dispatch.Unreachable, errNotSent
 	}
+	if !x.maySend(grant) {
+		return dispatch.NotSentEvacuated, errEvacuated
+	}
 	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address, x.call.ID)
 	if err != nil {
 		if x.ctx.Err() == nil {
@@ -134,9 +137,14 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
+	if !x.maySend(grant) {
+		// The view has changed while the connection was made.
+		return dispatch.NotSentEvacuated, info, false, errEvacuated
+	}
 	x.granted = grant
 	out := x.newTargetRequest(grant)
 	x.record.sends++
+	x.countSend(grant)
 	if err = c.send(out); errors.Is(err, errNotSent) {
 		return dispatch.Unreachable, info, false, err
 	}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -93,6 +93,8 @@
 	copies         copyState
 	// leaving holds the targets that have stated that they leave.
 	leaving ledger.LeavingTargets
+	// evacuations is what was last logged about evacuated data centres.
+	evacuations evacuationLog
 	// detector finds out which targets have ended while they ran a request.
 	detector *quarantine.Detector
 	// checkSlots holds an element for each check of a target in progress.
@@ -176,7 +178,11 @@
 	view := h.options.View()
 	targets := make([]dispatch.Target, 0, len(view.Targets))
 	for _, t := range view.Targets {
-		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: h.leaves(t)}
+		evacuated := view.Evacuated(t.DataCentre)
+		target := dispatch.Target{
+			ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots,
+			Draining: h.leaves(t) || evacuated, Evacuated: evacuated && !h.leaves(t),
+		}
 		if view.Table != nil {
 			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
@@ -185,6 +191,7 @@
 		targets = append(targets, target)
 	}
 	h.deliverOutcomes(h.grants().SetTargets(bootclock.Now(), targets))
+	h.logEvacuations(view, targets)
 	h.setDetectorTargets(view)
 }
 
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -55,7 +55,7 @@
 	}
 	reg := registry.New(registry.Options{
 		Quorum: q, Machine: machine, Pool: p.pool, AddressLifetime: p.Settings.Callers.AddressLifetime(),
-		TolerateLosses: p.Settings.Formation.TolerateLosses, Seeds: p.seeds, Log: p.Log,
+		TolerateLosses: p.Settings.Formation.TolerateLosses, Seeds: p.seeds, Log: p.Log, Metrics: p.metrics,
 	})
 	q.Register(p.rpc)
 	reg.Register(p.rpc)
--- a/server/registry/command.go
+++ b/server/registry/command.go
@@ -31,6 +31,10 @@
 		put.Document = compressed
 		c.PutConfiguration = &put
 	}
+	if c.Evacuate != nil {
+		carrier := c.Evacuate.Carrier()
+		c.Retire = &carrier
+	}
 	data, err := json.Marshal(c)
 	if err != nil || len(data) <= maxUncompressedBytes {
 		return data, err
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,31 +189,6 @@
 	}
 }
 
-// entriesTimeout bounds the request for entries at one control VM.
-const entriesTimeout = 300 * time.Millisecond
-
-// errNoControl is returned if no control VM can be asked.
-var errNoControl = errors.New("no control VM is reachable")
-
-// Entries asks control for the RPC addresses of entries that can reach targets.
-func (f *Follower) Entries(ctx context.Context) ([]string, error) {
-	f.mu.Lock()
-	controlVMs := slices.Collect(maps.Keys(f.reachable))
-	f.mu.Unlock()
-	self := f.options.Self()
-	err := errNoControl
-	for _, address := range controlVMs {
-		var response EntriesResponse
-		callCtx, cancel := context.WithTimeout(ctx, entriesTimeout)
-		err = f.options.Pool.Call(callCtx, address, MethodEntries, EntriesRequest{Node: self.Node, DataCentre: self.DataCentre}, &response)
-		cancel()
-		if err == nil {
-			return response.Addresses, nil
-		}
-	}
-	return nil, err
-}
-
 // setReachable records whether the last watch at a control VM succeeded.
 func (f *Follower) setReachable(address string, reachable bool) {
 	f.mu.Lock()
@@ -278,12 +253,19 @@
 		state.membersDigest = response.Members.digest()
 		f.setMembers(address, *response.Members)
 	}
-	if response.Revision > f.View().Revision {
-		return f.fetch(ctx, address, response.Revision)
+	if f.lacks(response.Revision, response.Evacuations) {
+		return f.fetch(ctx, address, response.Revision, response.Evacuations)
 	}
 	return nil
 }
 
+// lacks reports whether the view is older than a revision of the catalog or of the evacuated
+// data centres.
+func (f *Follower) lacks(revision, evacuations uint64) bool {
+	view := f.View()
+	return revision > view.Revision || evacuations > view.Evacuations.Revision
+}
+
 // setMembers stores the members that a control VM named.
 func (f *Follower) setMembers(address string, m Members) {
 	f.mu.Lock()
@@ -302,11 +284,11 @@
 
 // fetch requests the changes of the catalog from a control VM and adopts them. Only one
 // transfer runs at a time, because all control VMs announce a change at the same time.
-func (f *Follower) fetch(ctx context.Context, address string, revision uint64) error {
+func (f *Follower) fetch(ctx context.Context, address string, revision, evacuations uint64) error {
 	f.fetchMu.Lock()
 	defer f.fetchMu.Unlock()
 	old := f.View()
-	if old.Revision >= revision {
+	if !f.lacks(revision, evacuations) {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -329,6 +311,9 @@
 // complete configuration.
 func (f *Follower) adopt(old *View, transfer Transfer, source string) {
 	if transfer.Revision <= old.Revision {
+		if next := old.withEvacuations(transfer.Evacuations); next != old {
+			f.publish(old, next, source)
+		}
 		return
 	}
 	transfer.Targets = catalog.ValidTargets(transfer.Targets, func(t catalog.Target, err error) {
@@ -342,11 +327,22 @@
 		f.view.Store(&fallback)
 		return
 	}
-	f.view.Store(next)
 	f.options.Log.WithFields(logrus.Fields{
 		"event": "catalog_adopted", "revision": next.Revision, "previous": old.Revision, "version": next.version(),
 		"targets": len(next.Targets), "stores": len(next.Stores), "partial": transfer.Partial, "source": source,
 	}).Info("catalog adopted")
+	f.publish(old, next, source)
+}
+
+// publish replaces the view, and logs a change of the evacuated data centres.
+func (f *Follower) publish(old, next *View, source string) {
+	f.view.Store(next)
+	if !slices.Equal(old.Evacuations.DataCentres, next.Evacuations.DataCentres) {
+		f.options.Log.WithFields(logrus.Fields{
+			"event": "evacuations_adopted", "evacuated": strings.Join(next.Evacuations.DataCentres, ","),
+			"evacuation_revision": next.Evacuations.Revision, "source": source,
+		}).Info("evacuated data centres changed")
+	}
 	if f.options.OnChange != nil {
 		f.options.OnChange(next)
 	}
--- a/server/registry/machine.go
+++ b/server/registry/machine.go
@@ -53,6 +53,11 @@
 		m.previousConfigurations = m.previousConfigurations[max(0, len(m.previousConfigurations)-maxPreviousConfigurations):]
 	}
 	m.notifyChange(oldRevision)
+	if e := c.Evacuate; e != nil && !e.End {
+		if _, evacuated := m.state.Evacuations[e.DataCentre]; !evacuated {
+			return catalog.ErrTooManyEvacuations
+		}
+	}
 	return nil
 }
 
@@ -76,7 +81,10 @@
 // m.mu.
 func (m *machine) transfer(r FetchRequest) Transfer {
 	s := m.state
-	result := Transfer{Revision: s.Revision, ConfigurationRevision: s.ConfigurationRevision, Stores: s.Stores}
+	result := Transfer{
+		Revision: s.Revision, ConfigurationRevision: s.ConfigurationRevision, Stores: s.Stores,
+		Evacuations: &Evacuations{s.EvacuationRevision, s.Evacuated()},
+	}
 	if result.Targets, result.Partial = s.TargetsSince(r.Revision); !result.Partial {
 		result.Targets = s.Live()
 	}
@@ -142,6 +150,13 @@
 	f(m.state)
 }
 
+// evacuationRevision returns the revision of the last change of the evacuated data centres.
+func (m *machine) evacuationRevision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.EvacuationRevision
+}
+
 // revision returns the current revision and a channel that is closed when it changes.
 func (m *machine) revision() (uint64, <-chan struct{}) {
 	m.mu.Lock()
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -28,6 +28,9 @@
 	MethodEntries = "registry.entries"
 	// MethodRetire asks the leader to move all replicas off a store VM.
 	MethodRetire = "registry.retire"
+	// MethodEvacuations returns the evacuated data centres from the leader after a quorum has
+	// confirmed its leadership.
+	MethodEvacuations = "registry.evacuations"
 )
 
 // These are the error codes of the methods.
@@ -39,6 +42,8 @@
 	CodeUnknownNode = "unknown_node"
 	// CodeTooFewStores means that too few store VMs would remain.
 	CodeTooFewStores = "too_few_stores"
+	// CodeTooManyEvacuations means that no further evacuated data centre can be recorded.
+	CodeTooManyEvacuations = "too_many_evacuations"
 )
 
 // VM is the report of an entry or store VM about itself.
@@ -98,6 +103,8 @@
 	Unknown bool `json:"u,omitempty"`
 	// Members is nil if the digest in the request is up to date.
 	Members *Members `json:"m,omitempty"`
+	// Evacuations is the revision of the evacuated data centres that the control VM holds.
+	Evacuations uint64 `json:"e,omitempty"`
 }
 
 // Members lists the control and store VMs that one control VM knows.
@@ -166,6 +173,17 @@
 	Partial bool             `json:"partial,omitempty"`
 	// Stores holds the initial members of the store group.
 	Stores []catalog.Store `json:"stores"`
+	// Evacuations holds the evacuated data centres; nil if the sender is of an earlier
+	// release, which doesn't know them.
+	Evacuations *Evacuations `json:"evacuations,omitempty"`
+}
+
+// Evacuations is the set of evacuated data centres.
+type Evacuations struct {
+	// Revision is the revision of the last change of the set, or a later one.
+	Revision uint64 `json:"revision"`
+	// DataCentres holds the names in order.
+	DataCentres []string `json:"data_centres"`
 }
 
 // encodeTransfer returns the response that carries a transfer.
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/catalog"
@@ -76,6 +77,8 @@
 	Seeds func() []string
 	// Log receives the registry's events.
 	Log *logrus.Entry
+	// Metrics receives the counters of orders about data centres.
+	Metrics gometrics.Registry
 }
 
 // Machine is the replicated state machine of a control VM.
@@ -126,6 +129,7 @@
 	s.Handle(MethodDocument, g.handleDocument)
 	s.Handle(MethodRetire, g.handleRetire)
 	s.Handle(MethodEntries, g.handleEntries)
+	s.Handle(MethodEvacuations, g.handleEvacuations)
 }
 
 // Run runs the leader's tasks, while this VM is the leader, until ctx ends.
@@ -224,18 +228,31 @@
 	_, address, self := g.options.Quorum.Leader()
 	switch {
 	case self:
-		_, err = g.options.Quorum.Propose(ctx, data)
+		err = g.propose(ctx, data)
 	case address == "":
 		return ErrUnavailable
 	default:
 		err = g.options.Pool.Call(ctx, address, MethodPropose, ProposeRequest{data}, nil)
 	}
+	if errors.Is(err, catalog.ErrTooManyEvacuations) || rpc.CodeOf(err) == CodeTooManyEvacuations {
+		return catalog.ErrTooManyEvacuations
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return nil
 }
 
+// propose commits an encoded command on this VM. It returns catalog.ErrTooManyEvacuations if
+// the state machine has rejected the command for that reason.
+func (g *Registry) propose(ctx context.Context, data []byte) error {
+	result, err := g.options.Quorum.Propose(ctx, data)
+	if rejected, ok := result.(error); ok && errors.Is(rejected, catalog.ErrTooManyEvacuations) {
+		return rejected
+	}
+	return err
+}
+
 // handlePropose commits a command that another control VM sent.
 func (g *Registry) handlePropose(ctx context.Context, params json.RawMessage) (any, error) {
 	var r ProposeRequest
@@ -244,7 +261,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := g.options.Quorum.Propose(ctx, r.Command); err != nil {
+	err := g.propose(ctx, r.Command)
+	switch {
+	case errors.Is(err, catalog.ErrTooManyEvacuations):
+		return nil, rpc.Errorf(CodeTooManyEvacuations, "%v", err)
+	case err != nil:
 		return nil, rpc.Errorf(CodeUnavailable, "%v", err)
 	}
 	return struct{}{}, nil
--- a/server/registry/stored.go
+++ b/server/registry/stored.go
@@ -32,6 +32,8 @@
 	Configuration *routing.Configuration `json:"configuration,omitempty"`
 	Targets       []catalog.Target       `json:"targets"`
 	Stores        []catalog.Store        `json:"stores"`
+	// Evacuated holds the evacuated data centres.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // KeepStored keeps a copy of the catalog in a file until ctx ends, so that a VM that restarts
@@ -68,12 +70,15 @@
 	defer f.fetchMu.Unlock()
 	// An invalid target is skipped as in any transfer. The complete configuration is requested
 	// from control.
-	f.adopt(f.View(), Transfer{Revision: storedRevision, Configuration: stored.Configuration, Targets: stored.Targets, Stores: stored.Stores}, path)
+	f.adopt(f.View(), Transfer{
+		Revision: storedRevision, Configuration: stored.Configuration, Targets: stored.Targets, Stores: stored.Stores,
+		Evacuations: &Evacuations{DataCentres: stored.Evacuated},
+	}, path)
 }
 
 // store writes the view to a file, which is replaced as a whole.
 func (v *View) store(path string) error {
-	stored := storedCatalog{Targets: v.Targets, Stores: v.Stores}
+	stored := storedCatalog{Targets: v.Targets, Stores: v.Stores, Evacuated: v.Evacuations.DataCentres}
 	if v.Table != nil {
 		stored.Configuration = &v.Table.Configuration
 	}
--- a/server/registry/view.go
+++ b/server/registry/view.go
@@ -18,6 +18,9 @@
 	Targets []catalog.Target
 	// Stores holds the initial members of the store group.
 	Stores []catalog.Store
+	// Evacuations holds the evacuated data centres. Its revision is independent of Revision: a
+	// control VM of an earlier release delivers later revisions without evacuations.
+	Evacuations Evacuations
 
 	// configurationRevision is the revision that put the configuration of Table in
 	// force; 0 requests the complete configuration with the next transfer.
@@ -41,6 +44,24 @@
 	return v.Targets[index], true
 }
 
+// Evacuated reports whether a data centre is evacuated.
+func (v *View) Evacuated(dataCentre string) bool {
+	_, found := slices.BinarySearch(v.Evacuations.DataCentres, dataCentre)
+	return found
+}
+
+// withEvacuations returns the view with a set of evacuated data centres, or v if the set is
+// earlier than its own or equal to it. A set that control delivers replaces a stored one, which
+// has revision 0.
+func (v *View) withEvacuations(e *Evacuations) *View {
+	if e == nil || e.Revision < v.Evacuations.Revision || e.Revision == v.Evacuations.Revision && slices.Equal(e.DataCentres, v.Evacuations.DataCentres) {
+		return v
+	}
+	next := *v
+	next.Evacuations = *e
+	return &next
+}
+
 // version returns the version of the configuration in force; 0 if there is none.
 func (v *View) version() int64 {
 	if v.Table == nil {
@@ -52,7 +73,7 @@
 // apply returns the view that results from applying a transfer to v. It fails if the
 // transfer contains a change of a configuration that v does not hold.
 func (v *View) apply(transfer Transfer) (*View, error) {
-	next := &View{Revision: transfer.Revision, Table: v.Table, Targets: transfer.Targets, Stores: transfer.Stores, configurationRevision: v.configurationRevision}
+	next := &View{Revision: transfer.Revision, Table: v.Table, Targets: transfer.Targets, Stores: transfer.Stores, Evacuations: v.Evacuations, configurationRevision: v.configurationRevision}
 	if transfer.Partial {
 		next.Targets = mergeTargets(v.Targets, transfer.Targets)
 	}
@@ -69,7 +90,7 @@
 		next.Table = routing.NewTable(*c)
 		next.configurationRevision = transfer.ConfigurationRevision
 	}
-	return next, nil
+	return next.withEvacuations(transfer.Evacuations), nil
 }
 
 // mergeTargets applies changed targets to old ones. Targets that have left are removed;
--- a/server/registry/watch.go
+++ b/server/registry/watch.go
@@ -22,7 +22,7 @@
 	}
 	timeout := min(time.Duration(r.WaitMS)*time.Millisecond, g.watchTimeout())
 	revision := g.awaitRevision(ctx, r.Known, timeout)
-	response := WatchResponse{Revision: revision}
+	response := WatchResponse{Revision: revision, Evacuations: g.options.Machine.evacuationRevision()}
 	if r.Known == heartbeatOnly {
 		return response, nil
 	}
