Cold targets: paced grants, ramp-up after a start

Cause: a target that has just started accepts few requests per second and crashes well above that. Being idle, it was the least loaded and got all requests of its data centre.

Change: a service may state cold_start_s and cold_per_s, a heartbeat cold_left_ms. Control stamps the cold period on its own clock and stores it with the target. The dispatcher has a token bucket for each cold target, beside that for a stated rate limit, and chooses cold targets only while no warm one of their class has capacity.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -54,6 +54,11 @@
 	// Sequence orders the announcements of one incarnation; the highest is the
 	// latest.
 	Sequence int64 `json:"sequence"`
+	// ColdUntilUnixMS is the end of the cold period that the target has stated, and
+	// FirstSeenUnixMS the first announcement of the incarnation, in Unix milliseconds of the
+	// control VM that received it. Both are 0 unless the service limits its cold targets.
+	ColdUntilUnixMS int64 `json:"cold_until_ms,omitempty"`
+	FirstSeenUnixMS int64 `json:"first_seen_ms,omitempty"`
 }
 
 // Incarnation identifies one run of a target's process.
@@ -203,6 +208,7 @@
 }
 
 func (s *State) putTarget(index uint64, t Target) {
+	t = s.keepFirstSeen(t)
 	if !s.WouldChange(t) {
 		return
 	}
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	buckets          map[string]*bucket
 	// rates holds the rate limits that targets state, by target.
 	rates map[string]*targetRate
+	// nextColdEnd is when the next target stops being cold; 0 if none is.
+	nextColdEnd time.Duration
 	// origins holds what began the streams that callers may take up.
 	origins origins
 	grants  map[string]*grant
@@ -55,6 +57,8 @@
 	held bool
 	// candidates is a buffer that is reused between placement decisions.
 	candidates []placement.Candidate
+	// coldCandidates is such a buffer for targets that are cold.
+	coldCandidates []placement.Candidate
 }
 
 // grant is a request that was assigned to a target and has not ended.
@@ -108,10 +112,15 @@
 			d.origins.forgetTarget(t.ID)
 		}
 		n.Target = t
+		n.updateCold(now)
 		next[t.ID] = n
 		d.targetsByService[t.Service] = append(d.targetsByService[t.Service], n)
 	}
 	d.targets = next
+	d.nextColdEnd = 0
+	for _, t := range next {
+		d.noteColdEnd(t)
+	}
 	d.attachRates(now)
 	return d.grantAllWaiting(now)
 }
@@ -284,6 +293,7 @@
 		q.assignRank(now, w)
 		q.add(w)
 	}
+	d.endColdPeriods(now)
 	d.programs.sweep(now)
 	d.origins.sweep(now)
 	return d.grantAllWaiting(now)
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -22,6 +22,10 @@
 	if t.rate != nil {
 		t.rate.bucket.tokens--
 	}
+	if t.isCold(now) {
+		t.cold.bucket.tokens--
+		decision.Reason = ReasonCold
+	}
 	if t.cache != nil {
 		t.cache.recordPrompt(r.Parts)
 	}
@@ -36,7 +40,8 @@
 // choose makes the placement decision among the targets of the request's best class
 // that have capacity. Targets of a worse class are not considered, even if all targets
 // of the best class are busy: the request waits for a healthy target instead of losing
-// time at one that is probably down.
+// time at one that is probably down. Cold targets are considered only if no warm one of their class
+// has capacity: they are idle, and would otherwise be the least loaded.
 func (d *Dispatcher) choose(now time.Duration, r *Request, prompt, need int64) placement.Decision {
 	if len(r.Unreachable) > 0 && !d.hasReachableTarget(r) {
 		// The targets that it waited for have left.
@@ -44,7 +49,7 @@
 	}
 	best := unusable
 	median := d.median(now, r.Service)
-	d.candidates = d.candidates[:0]
+	d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
 		if !r.allows(t) || !r.reaches(t) {
 			continue
@@ -55,17 +60,25 @@
 		}
 		if class < best {
 			best = class
-			d.candidates = d.candidates[:0]
+			d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
 		}
 		if !t.hasCapacity(now, need) {
 			continue
 		}
 		c := t.candidate(r)
 		c.DistanceTokens += t.stats.penalty(now, median)
-		d.candidates = append(d.candidates, c)
+		if t.isCold(now) {
+			d.coldCandidates = append(d.coldCandidates, c)
+		} else {
+			d.candidates = append(d.candidates, c)
+		}
+	}
+	candidates := d.candidates
+	if len(candidates) == 0 {
+		candidates = d.coldCandidates
 	}
 	q := placement.Request{Organisation: r.Organisation, PromptTokens: prompt, Priority: r.Priority}
-	return placement.Place(d.policy, q, d.candidates, d.random.Uint64())
+	return placement.Place(d.policy, q, candidates, d.random.Uint64())
 }
 
 // acceptsRequests reports whether any target of a service accepts requests.
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -54,7 +54,9 @@
 	// fullUntil is when the pause after a refusal as full ends.
 	fullUntil time.Duration
 	// rate is nil while the target states no rate limit.
-	rate  *targetRate
+	rate *targetRate
+	// cold is nil while the target is warm.
+	cold  *coldRate
 	stats targetStats
 }
 
@@ -75,6 +77,9 @@
 	if t.rate != nil && !t.rate.available(now) {
 		return false
 	}
+	if !t.coldRateAllows(now) {
+		return false
+	}
 	return t.KVCapacity == 0 || t.outstanding == 0 || t.tokens+need <= t.KVCapacity
 }
 
--- a/coord/dispatch/targetrate.go
+++ b/coord/dispatch/targetrate.go
@@ -106,18 +106,19 @@
 }
 
 // updateServiceRate records the sum of the rate limits if all targets of a service that
-// accept requests have one.
+// accept requests have one or are cold.
 func (d *Dispatcher) updateServiceRate(service string) {
 	total := 0.0
 	for _, t := range d.targetsByService[service] {
 		if t.Draining {
 			continue
 		}
-		if t.rate == nil {
+		rate, limited := t.grantRate()
+		if !limited {
 			d.queue(service).maxRate = 0
 			return
 		}
-		total += t.rate.bucket.limits.RatePerSecond
+		total += rate
 	}
 	d.queue(service).maxRate = total
 }
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -39,6 +39,10 @@
 	Draining bool
 	// Evacuated is set, in addition to Draining, while its data centre is evacuated.
 	Evacuated bool
+	// ColdUntil is the time until which the target is cold, and ColdPerSecond the number of
+	// requests per second that it accepts until then; 0 means no limit.
+	ColdUntil     time.Duration
+	ColdPerSecond float64
 }
 
 // Part is a section of a prompt that several requests may share.
@@ -212,6 +216,9 @@
 	// NotSentEvacuated means that the request was not sent, because the target's data centre is
 	// evacuated.
 	NotSentEvacuated Result = "evacuated"
+	// NotSentLate means that the request was not sent, because its target is cold and the grant
+	// was too old.
+	NotSentLate Result = "late_grant"
 	// Broken means that the answer was lost or incomplete.
 	Broken Result = "broken"
 	// Abandoned means that the caller disconnected or its time ran out.
--- a/coord/routing/types.go
+++ b/coord/routing/types.go
@@ -102,6 +102,11 @@
 	// MaxConnections is the maximum number of connections that each target accepts
 	// from all VMs together; 0 means no limit.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdStartSeconds is how long a target stays cold after its start, and ColdPerSecond the
+	// number of requests per second that a cold target accepts from all VMs together; 0 means
+	// no limit.
+	ColdStartSeconds float64 `json:"cold_start_s,omitempty"`
+	ColdPerSecond    float64 `json:"cold_per_s,omitempty"`
 	// Engine describes the model engines of the service; it is nil for plain
 	// services.
 	Engine *Engine `json:"engine,omitempty"`
--- a/coord/routing/validate.go
+++ b/coord/routing/validate.go
@@ -49,12 +49,28 @@
 			findings.add(fmt.Sprintf("services.%d.name", i), "%q is used twice", s.Name)
 		}
 		services[s.Name] = true
+		validateRange(fmt.Sprintf("services.%d.cold_start_s", i), s.ColdStartSeconds, maxColdStartSeconds, &findings)
+		validateRange(fmt.Sprintf("services.%d.cold_per_s", i), s.ColdPerSecond, maxColdPerSecond, &findings)
 	}
 	c.validateRoutes(services, &findings)
 	c.validateOrganisations(&findings)
 	return findings
 }
 
+const (
+	// maxColdStartSeconds bounds the cold period after a start, and maxColdPerSecond the
+	// rate of a cold target.
+	maxColdStartSeconds = 3600
+	maxColdPerSecond    = 1_000_000
+)
+
+// validateRange adds a finding if a value is not between 0 and highest.
+func validateRange(path string, value, highest float64, findings *Findings) {
+	if !(value >= 0 && value <= highest) {
+		findings.add(path, "must be between 0 and %v", highest)
+	}
+}
+
 func (c *Configuration) validateRoutes(services map[string]bool, findings *Findings) {
 	routeIndexes := make(map[string]int, len(c.Routes))
 	for i := range c.Routes {
--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -58,7 +58,7 @@
 func (x *exchange) askLedger(request ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
 	askedAt := bootclock.Now()
 	response, err := x.entry.options.Ledger.Admit(x.ctx, request)
-	x.grantedAt = time.Now()
+	x.grantedAt, x.grantedAfter = time.Now(), askedAt+response.Waited
 	x.record.admitTime += bootclock.Now() - askedAt
 	x.record.queueTime += response.Waited
 	return response, err
--- a/server/forward/evacuation.go
+++ b/server/forward/evacuation.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"sync"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"hemlockvale.dev/coord/catalog"
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/server/bootclock"
 	ledgerhost "hemlockvale.dev/server/ledger"
 	"hemlockvale.dev/server/registry"
 )
@@ -26,17 +28,24 @@
 	return listed && view.Evacuated(t.DataCentre)
 }
 
-// maySend checks, immediately before a request is sent, whether the latest view allows it. The
-// grant may be older than an order, or the leader may not know the order.
-func (x *exchange) maySend(grant ledgerhost.AdmitResponse) bool {
+// holdBack checks, immediately before a request is sent, whether the latest view allows it. The
+// grant may be older than an order, or the leader may not know the order. It returns an empty result
+// if the request may be sent.
+func (x *exchange) holdBack(grant ledgerhost.AdmitResponse) (dispatch.Result, error) {
 	view := x.entry.options.View()
-	if !evacuatedTarget(view, grant.Target) {
-		return true
+	result, err := dispatch.Result(""), error(nil)
+	switch {
+	case evacuatedTarget(view, grant.Target):
+		result, err = dispatch.NotSentEvacuated, errEvacuated
+		x.entry.pool.drop(grant.Target)
+		x.excludedTargets = excludeEvacuated(x.excludedTargets, view, x.service.Name)
+	case coldTarget(view, grant.Target, time.Now()) && bootclock.Now() > x.grantedAfter+dispatch.MaxColdGrantAge:
+		result, err = dispatch.NotSentLate, errLateGrant
+	default:
+		return "", nil
 	}
-	gometrics.GetOrRegisterCounter("forward_not_sent;reason="+string(dispatch.NotSentEvacuated), x.entry.options.Metrics).Inc(1)
-	x.entry.pool.drop(grant.Target)
-	x.excludedTargets = excludeEvacuated(x.excludedTargets, view, x.service.Name)
-	return false
+	gometrics.GetOrRegisterCounter("forward_not_sent;reason="+string(result), x.entry.options.Metrics).Inc(1)
+	return result, err
 }
 
 // maxExcluded bounds the targets that one request excludes because of evacuations. The list is
--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -206,7 +206,9 @@
 	// were relayed; nil if none were.
 	granted   ledgerhost.AdmitResponse
 	grantedAt time.Time
-	origin    *dispatch.Origin
+	// grantedAfter is a time of bootclock before which the latest grant was not made.
+	grantedAfter time.Duration
+	origin       *dispatch.Origin
 	// streamed is set once the whole stream has been relayed.
 	streamed bool
 	history  turnHistory
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -89,7 +89,9 @@
 // handleFailure excludes a target at which the request failed. It returns true if
 // the request should be placed at another target.
 func (x *exchange) handleFailure(grant ledgerhost.AdmitResponse, result dispatch.Result) bool {
-	x.excludedTargets = append(x.excludedTargets, grant.Target)
+	if result != dispatch.NotSentLate {
+		x.excludedTargets = append(x.excludedTargets, grant.Target)
+	}
 	retry := result != dispatch.Broken || (x.route.Repeatable() && x.mayRetry())
 	x.reportDone(grant.Target, result, !retry)
 	if !retry {
@@ -114,8 +116,8 @@
 	if left <= 0 {
 		return dispatch.Unreachable, errNotSent
 	}
-	if !x.maySend(grant) {
-		return dispatch.NotSentEvacuated, errEvacuated
+	if result, err := x.holdBack(grant); result != "" {
+		return result, err
 	}
 	c, err := x.entry.pool.get(x.ctx, grant.Target, grant.Address, x.call.ID)
 	if err != nil {
@@ -137,9 +139,9 @@
 // roundTripOn performs the round trip on c. reusable reports whether c may be used
 // for another request.
 func (x *exchange) roundTripOn(c *conn, grant ledgerhost.AdmitResponse) (result dispatch.Result, info ResponseInfo, reusable bool, err error) {
-	if !x.maySend(grant) {
-		// The view has changed while the connection was made.
-		return dispatch.NotSentEvacuated, info, false, errEvacuated
+	if result, err = x.holdBack(grant); result != "" {
+		// The view has changed while the connection was made, or that took long.
+		return result, info, false, err
 	}
 	x.granted = grant
 	out := x.newTargetRequest(grant)
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -129,6 +129,7 @@
 		h.outcomeCounters[outcome] = counter
 	}
 	counter.Inc(1)
+	h.countCold(r)
 	h.waitedTimer.Update(r.Waited)
 }
 
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -95,6 +95,8 @@
 	leaving ledger.LeavingTargets
 	// evacuations is what was last logged about evacuated data centres.
 	evacuations evacuationLog
+	// cold holds the targets that were last logged as cold.
+	cold map[string]bool
 	// detector finds out which targets have ended while they ran a request.
 	detector *quarantine.Detector
 	// checkSlots holds an element for each check of a target in progress.
@@ -184,14 +186,17 @@
 			Draining: h.leaves(t) || evacuated, Evacuated: evacuated && !h.leaves(t),
 		}
 		if view.Table != nil {
-			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
+			s := view.Table.Service(t.Service)
+			if s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
 			}
+			setCold(&target, t, s)
 		}
 		targets = append(targets, target)
 	}
 	h.deliverOutcomes(h.grants().SetTargets(bootclock.Now(), targets))
 	h.logEvacuations(view, targets)
+	h.logCold(targets)
 	h.setDetectorTargets(view)
 }
 
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -159,14 +159,18 @@
 // ErrInvalidTarget reports an announcement that describes no target that could be used.
 var ErrInvalidTarget = errors.New("announcement is invalid")
 
-// Announce records the announcement of a target. It returns when the change is
-// committed, at once if nothing has changed, or ErrInvalidTarget.
-func (g *Registry) Announce(ctx context.Context, t catalog.Target) error {
+// Announce records the announcement of a target that states to stay cold for coldLeft; 0 if it is
+// warm. It returns when the change is committed, at once if nothing has changed, or
+// ErrInvalidTarget.
+func (g *Registry) Announce(ctx context.Context, t catalog.Target, coldLeft time.Duration) error {
 	if err := t.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidTarget, err)
 	}
 	wouldChange := false
-	g.options.Machine.read(func(s *catalog.State) { wouldChange = s.WouldChange(t) })
+	g.options.Machine.read(func(s *catalog.State) {
+		t = stampCold(s, t, coldLeft, time.Now().UnixMilli())
+		wouldChange = s.WouldChange(t)
+	})
 	if !wouldChange {
 		return nil
 	}
