Evacuation: the list names VMs that do not know the order yet

Cause: an operator had to search the logs of all VMs to see that an order is known everywhere.

Change: watches report the revision of the evacuated data centres; hemlockctl evacuation list names the VMs that are behind.

Result: go test ./server/registry passes.

--- a/cmd/hemlockctl/evacuation.go
+++ b/cmd/hemlockctl/evacuation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -44,6 +45,9 @@
 		return err
 	}
 	if o.output == "table" {
+		if len(r.Behind) > 0 {
+			fmt.Fprintln(out, "VMs that do not know the latest order yet:", strings.Join(r.Behind, ", "))
+		}
 		fmt.Fprintln(out, "targets of other data centres that accept requests:", r.OtherTargets)
 	}
 	return o.print(out, raw, "evacuations", []column{{"DATA CENTRE", "data_centre"}, {"REVISION", "revision"}, {"TARGETS", "targets"}})
--- a/server/registry/evacuate.go
+++ b/server/registry/evacuate.go
@@ -51,6 +51,36 @@
 	Evacuations []EvacuationStatus `json:"evacuations"`
 	// OtherTargets is the number of targets of other data centres that accept requests.
 	OtherTargets int `json:"other_targets"`
+	// Behind holds entries and store VMs that reported recently to the leader, but not that they
+	// know the latest order; there may be more than maxBehind.
+	Behind []string `json:"behind"`
+}
+
+// maxBehind bounds the VMs that a response names.
+const maxBehind = 64
+
+// recordEvacuations records which revision of the evacuated data centres a VM holds.
+func (g *Registry) recordEvacuations(node string, revision uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if report := g.reports[node]; report != nil {
+		report.evacuations = max(report.evacuations, revision)
+	}
+}
+
+// behind returns the VMs that reported recently, but not that they hold a revision of the evacuated
+// data centres.
+func (g *Registry) behind(revision uint64) []string {
+	vms := slices.Concat(g.liveVMs("entry"), g.liveVMs("store"))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	nodes := []string{}
+	for _, vm := range vms {
+		if len(nodes) < maxBehind && g.reports[vm.Node].evacuations < revision {
+			nodes = append(nodes, vm.Node)
+		}
+	}
+	return nodes
 }
 
 // EvacuationStatus describes an evacuated data centre.
@@ -70,7 +100,9 @@
 		return nil, rpc.Errorf(CodeUnavailable, "%v", fmt.Errorf("not the leader of the control VMs: %w", err))
 	}
 	var response EvacuationsResponse
-	g.options.Machine.read(func(s *catalog.State) { response = describeEvacuations(s) })
+	revision := uint64(0)
+	g.options.Machine.read(func(s *catalog.State) { response, revision = describeEvacuations(s), s.EvacuationRevision })
+	response.Behind = g.behind(revision)
 	return response, nil
 }
 
--- a/server/registry/evacuate_test.go
+++ b/server/registry/evacuate_test.go
@@ -101,6 +101,30 @@
 	assert.EqualValues(t, 4, response.(WatchResponse).Evacuations, "those that wait for the timeout compare it as well")
 }
 
+// TestListsVMsThatAreBehind guards against an operator who takes an order for known everywhere while an
+// entry does not know it, or is of an earlier release.
+func TestListsVMsThatAreBehind(t *testing.T) {
+	g := New(Options{Machine: NewMachine(), Log: discardLog()})
+	watch := func(node, fields string) {
+		_, err := g.handleWatch(t.Context(), []byte(fmt.Sprintf(`{"n":%q,"s":1,"k":18446744073709551615,"w":0%s}`, node, fields)))
+		require.NoError(t, err)
+	}
+	applyCommand(t, g.options.Machine.machine, 7, order("a", false))
+	for _, node := range []string{"current", "late", "earlier"} {
+		watch(node, fmt.Sprintf(`,"vm":{"node":%q,"role":"entry","started":1}`, node))
+	}
+	watch("store", `,"vm":{"node":"store","role":"store","started":1},"e":6`)
+	watch("current", `,"e":7`)
+	watch("late", `,"e":6`)
+	watch("earlier", ``)
+	assert.Equal(t, []string{"earlier", "late", "store"}, g.behind(7))
+	watch("late", `,"e":9`)
+	assert.Equal(t, []string{"earlier", "store"}, g.behind(7))
+	assert.Empty(t, g.behind(0))
+	watch("late", `,"vm":{"node":"late","role":"entry","started":2}`)
+	assert.Contains(t, g.behind(7), "late", "it has restarted")
+}
+
 // TestTooManyEvacuationsAreReported guards against an order that is acknowledged although the
 // catalog has no room for it.
 func TestTooManyEvacuationsAreReported(t *testing.T) {
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -228,7 +228,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, watchCallTimeout)
 	defer cancel()
 	self := f.options.Self()
-	request := WatchRequest{Node: self.Node, Started: self.Started, Known: f.View().Revision, WaitMS: MaxWatchTimeout.Milliseconds(), Members: state.membersDigest}
+	view := f.View()
+	request := WatchRequest{
+		Node: self.Node, Started: self.Started, Known: view.Revision, WaitMS: MaxWatchTimeout.Milliseconds(),
+		Members: state.membersDigest, Evacuations: view.Evacuations.Revision,
+	}
 	if self != state.reported {
 		request.VM = &self
 	}
@@ -361,7 +365,7 @@
 			defer cancel()
 			self := f.options.Self()
 			var response WatchResponse
-			if err := f.options.Pool.Call(callCtx, address, MethodWatch, WatchRequest{VM: &self, Node: self.Node, Started: self.Started}, &response); err != nil {
+			if err := f.options.Pool.Call(callCtx, address, MethodWatch, WatchRequest{VM: &self, Node: self.Node, Started: self.Started, Evacuations: f.View().Evacuations.Revision}, &response); err != nil {
 				f.options.Log.WithFields(logrus.Fields{"event": "report_failed", "address": address}).WithError(err).Warn("control VM did not accept the report")
 			}
 		})
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -88,6 +88,8 @@
 	WaitMS int64 `json:"w,omitempty"`
 	// Members is the digest of the members that the sender holds.
 	Members uint64 `json:"m,omitempty"`
+	// Evacuations is the revision of the evacuated data centres that the sender holds.
+	Evacuations uint64 `json:"e,omitempty"`
 }
 
 // heartbeatOnly is the value of WatchRequest.Known of a VM that gets changes and members
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -114,6 +114,8 @@
 type vmReport struct {
 	VM
 	receivedAt time.Time
+	// evacuations is the revision of the evacuated data centres that the VM holds.
+	evacuations uint64
 }
 
 // New returns a registry. Run must be called for the leader's tasks.
