Dispatch: prefer targets to which the entry probably has an idle connection

Cause: the dispatcher spreads the requests of an entry over all targets that are equally free. An entry that serves a few requests a second uses a target again only after its idle connection has expired.

Change: the dispatcher derives from its grants and their ends how many idle connections each entry has to each target (coord/dispatch/connections.go). Targets that have as many connections as they accept are avoided. The jitter is reduced below the cost of a connection. The placement policy samples up to 8 connected targets as well. The leader sets the entry of a request from its link; no message changes.

--- a/coord/dispatch/bench_test.go
+++ b/coord/dispatch/bench_test.go
@@ -15,10 +15,15 @@
 			now := time.Second
 			var granted []Outcome
 			n := 0
+			var entries []string
+			for n := range 110 {
+				entries = append(entries, fmt.Sprint("entry ", n))
+			}
 			admit := func() {
 				n++
 				r := request(fmt.Sprint(n))
 				r.TimeLeft = time.Hour
+				r.Entry = entries[n%len(entries)]
 				r.Parts = []Part{{ID: "shared", Tokens: 512}, {ID: r.ID, Tokens: 300}}
 				if o := d.Admit(now, r); o.Target != "" {
 					granted = append(granted, o)
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -42,8 +42,9 @@
 	grants  map[string]*grant
 	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
-	programs *programs
-	medians  map[string]*cachedMedian
+	programs    *programs
+	connections connections
+	medians     map[string]*cachedMedian
 	// waiting holds the requests that have no outcome yet, by id.
 	waiting map[string]*waitingRequest
 	// awaitingToken holds the times at which requests get the rate limit token of their
@@ -61,6 +62,7 @@
 type grant struct {
 	target       *target
 	organisation string
+	entry        string
 	tokens       int64
 	grantedAt    time.Duration
 	expiry       *deadline
@@ -73,7 +75,8 @@
 	// Independent decision makers need jitter so that those with equal views do not
 	// all choose the same target. One dispatcher sees all requests, so a little
 	// jitter is enough.
-	policy.JitterTokens = 20
+	// It is less than the cost of a new connection.
+	policy.JitterTokens = 5
 	return &Dispatcher{
 		startedAt:        now,
 		policy:           policy,
@@ -86,6 +89,7 @@
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
+		connections:      newConnections(now),
 		medians:          make(map[string]*cachedMedian),
 		waiting:          make(map[string]*waitingRequest),
 	}
@@ -113,6 +117,7 @@
 	}
 	d.targets = next
 	d.attachRates(now)
+	d.connections.setTargets(now, d.targets, d.targetsByService)
 	return d.grantAllWaiting(now)
 }
 
@@ -238,6 +243,7 @@
 	g := d.grants[id]
 	if g != nil && g.target.ID == targetID {
 		d.release(id, g)
+		d.connections.ended(now, g.entry, g.target, result)
 		switch result {
 		case Completed, Failed, Broken:
 			g.target.stats.record(now, now-g.grantedAt, units, result != Completed)
@@ -286,6 +292,7 @@
 	}
 	d.programs.sweep(now)
 	d.origins.sweep(now)
+	d.connections.sweep(now)
 	return d.grantAllWaiting(now)
 }
 
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -22,6 +22,7 @@
 	if t.rate != nil {
 		t.rate.bucket.tokens--
 	}
+	d.connections.granted(now, r.Entry, t)
 	if t.cache != nil {
 		t.cache.recordPrompt(r.Parts)
 	}
@@ -29,7 +30,7 @@
 		w.program.addWait(now, now-w.queuedAt)
 	}
 	d.recordOrigin(w, t)
-	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
+	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, entry: r.Entry, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
 
@@ -44,6 +45,7 @@
 	}
 	best := unusable
 	median := d.median(now, r.Service)
+	preference := d.connections.preference(now, r, d.targetsByService[r.Service])
 	d.candidates = d.candidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
 		if !r.allows(t) || !r.reaches(t) {
@@ -62,6 +64,7 @@
 		}
 		c := t.candidate(r)
 		c.DistanceTokens += t.stats.penalty(now, median)
+		preference.apply(r, t, &c)
 		d.candidates = append(d.candidates, c)
 	}
 	q := placement.Request{Organisation: r.Organisation, PromptTokens: prompt, Priority: r.Priority}
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -56,6 +56,12 @@
 	// rate is nil while the target states no rate limit.
 	rate  *targetRate
 	stats targetStats
+	// column is the index of the target in the tables of connections, idle the number of
+	// connections to it that are probably idle, and recentLoad the sum of the weights of its
+	// recent grants for each slot.
+	column     int
+	idle       int
+	recentLoad float64
 }
 
 func newTarget(t Target) *target {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -37,6 +37,9 @@
 	KVCapacity int64
 	// Draining is set while the target gets no new requests.
 	Draining bool
+	// MaxConnections is the maximum number of connections that the target accepts from all
+	// VMs together; 0 means no limit.
+	MaxConnections int
 }
 
 // Part is a section of a prompt that several requests may share.
@@ -114,6 +117,9 @@
 	Unreachable []string `json:"ur,omitempty"`
 	// DataCentre is the data centre of the sending VM.
 	DataCentre string `json:"d,omitempty"`
+	// Entry identifies the sending VM; empty if unknown. The receiver sets it, so it is not
+	// part of the message.
+	Entry string `json:"-" msgpack:"-"`
 }
 
 // pinned reports whether only some targets of the service may get the request.
--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -8,10 +8,13 @@
 
 const (
 	// maxSampled is the maximum number of candidates that one decision evaluates.
-	maxSampled = 32
+	maxSampled = 40
 	// maxSampledCached is the maximum number of sampled candidates that are
 	// included because they hold the program's prefix.
 	maxSampledCached = 8
+	// maxSampledConnected is the maximum number of sampled candidates that are included
+	// because a connection to them is open.
+	maxSampledConnected = 8
 	// defaultMaxBatch is the batch size, in requests, of targets that report none.
 	defaultMaxBatch = 16
 	// defaultTokensPerSecond is the prefill speed of targets that report none.
@@ -63,7 +66,8 @@
 
 // sample writes the indices of the candidates to evaluate to sampled and returns
 // their number. It selects all candidates if there are few; otherwise it selects
-// candidates that hold the program's prefix and a random sample of the others.
+// candidates that hold the program's prefix, connected ones, and a random sample of all
+// that do not hold the prefix.
 func sample(p *Policy, r *Request, cs []Candidate, rng *rand.PCG, sampled *[maxSampled]int32) int {
 	if len(cs) <= min(p.SampleSize, maxSampled) {
 		for i := range cs {
@@ -78,7 +82,8 @@
 			n++
 		}
 	}
-	for range min(p.SampleSize, maxSampled-maxSampledCached) {
+	n += sampleConnected(cs, rng, sampled[n:n+maxSampledConnected])
+	for range min(p.SampleSize, maxSampled-maxSampledCached-maxSampledConnected) {
 		i := int32(rng.Uint64() % uint64(len(cs)))
 		if cachedTokens(r, &cs[i]) == 0 {
 			sampled[n] = i
@@ -88,6 +93,24 @@
 	return n
 }
 
+// sampleConnected fills sampled with a random choice of the connected candidates and returns
+// their number.
+func sampleConnected(cs []Candidate, rng *rand.PCG, sampled []int32) int {
+	connected := 0
+	for i := range cs {
+		if !cs[i].Connected {
+			continue
+		}
+		connected++
+		if connected <= len(sampled) {
+			sampled[connected-1] = int32(i)
+		} else if j := rng.Uint64() % uint64(connected); j < uint64(len(sampled)) {
+			sampled[j] = int32(i)
+		}
+	}
+	return min(connected, len(sampled))
+}
+
 // cachedTokens returns the number of prompt tokens that the target has cached.
 // The program's record of its last call is used until the target has published
 // cache events after that call; from then on a prefix that the events do not show
--- a/coord/placement/types.go
+++ b/coord/placement/types.go
@@ -81,6 +81,9 @@
 	Suspect bool
 	// DistanceTokens is the cost of the network path to the target, in prefill tokens.
 	DistanceTokens int64
+	// Connected is set if the target is preferred because a connection to it is open. The
+	// cost of a new connection is part of the DistanceTokens of other candidates.
+	Connected bool
 }
 
 // Action is the outcome of a placement decision.
--- a/server/ledger/decider.go
+++ b/server/ledger/decider.go
@@ -23,6 +23,7 @@
 // receive queues an admission request of an entry for the decider, or refuses it at once if
 // too many are queued.
 func (h *Host) receive(r AdmitRequest, l *link) {
+	r.Entry = l.entry
 	a := &admission{request: r, link: l, receivedAt: bootclock.Now(), starts: h.starts(&r)}
 	if h.inbox.add(a) {
 		return
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -178,8 +178,11 @@
 	for _, t := range view.Targets {
 		target := dispatch.Target{ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Software: t.Software, Slots: t.Slots, Draining: h.leaves(t)}
 		if view.Table != nil {
-			if s := view.Table.Service(t.Service); s != nil && s.Engine != nil {
-				target.KVCapacity = s.Engine.KVCapacity
+			if s := view.Table.Service(t.Service); s != nil {
+				target.MaxConnections = s.MaxConnections
+				if s.Engine != nil {
+					target.KVCapacity = s.Engine.KVCapacity
+				}
 			}
 		}
 		targets = append(targets, target)
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -26,9 +26,11 @@
 
 // link is the store VM's side of a connection from an entry.
 type link struct {
-	host   *Host
-	form   linkForm
-	conn   net.Conn
+	host *Host
+	form linkForm
+	conn net.Conn
+	// entry is the host of the entry.
+	entry  string
 	queue  chan []byte
 	closed chan struct{}
 	// leadership is the one to which the entry has introduced itself; nil before.
@@ -100,9 +102,9 @@
 	}
 }
 
-// entryHost returns the host of the entry.
-func (l *link) entryHost() string {
-	address := l.conn.RemoteAddr().String()
+// hostOf returns the host of the other side of a connection.
+func hostOf(conn net.Conn) string {
+	address := conn.RemoteAddr().String()
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		return host
 	}
@@ -117,7 +119,7 @@
 
 // serveLink handles the messages of an entry until the connection closes.
 func (h *Host) serveLink(form linkForm, netConn net.Conn, r *bufio.Reader) {
-	l := &link{host: h, form: form, conn: netConn, queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
+	l := &link{host: h, form: form, conn: netConn, entry: hostOf(netConn), queue: make(chan []byte, linkQueueSize), closed: make(chan struct{})}
 	go l.writeLoop()
 	h.addLink(l)
 	defer func() {
@@ -235,13 +237,13 @@
 	case kindKeep:
 		return handleMessage(payload, func(r keepRequest) { h.keep(r, l) })
 	case kindDone:
-		return handleMessage(payload, func(r DoneReport) { h.done(l.entryHost(), r) })
+		return handleMessage(payload, func(r DoneReport) { h.done(l.entry, r) })
 	case kindTargetRates:
 		return handleMessage(payload, h.recordRates)
 	case kindLeaving:
-		return handleMessage(payload, func(targets []catalog.Incarnation) { h.recordLeaving(l.entryHost(), targets) })
+		return handleMessage(payload, func(targets []catalog.Incarnation) { h.recordLeaving(l.entry, targets) })
 	case kindLosses:
-		return handleMessage(payload, func(losses []LossReport) { h.recordLosses(l.entryHost(), losses) })
+		return handleMessage(payload, func(losses []LossReport) { h.recordLosses(l.entry, losses) })
 	case kindOrigins:
 		return handleMessage(payload, h.recordOrigins)
 	}
