Dispatch: less work for each candidate

Change: the latest expiry of an entry's connections to each target has its own slice, which candidates are looked up in. The sample of connected candidates ends with the eighth. A target with a free slot has capacity without computing how many requests may queue at it.

--- a/coord/dispatch/connections.go
+++ b/coord/dispatch/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"hemlockvale.dev/coord/placement"
@@ -51,9 +50,12 @@
 	expires [MaxIdleConnections]time.Duration
 }
 
-// open reports whether there is a connection that has not expired.
-func (c *idleConnections) open(now time.Duration) bool {
-	return c.count > 0 && now < c.expires[c.count-1]
+// last returns when the latest connection expires; 0 if there is none.
+func (c *idleConnections) last() time.Duration {
+	if c.count == 0 {
+		return 0
+	}
+	return c.expires[c.count-1]
 }
 
 // sweep removes expired connections and returns their number.
@@ -69,11 +71,32 @@
 
 // entryConnections holds the probable idle connections of one entry.
 type entryConnections struct {
-	// byTarget is indexed by target.column. It is as long as the highest column used so far.
+	// byTarget and latest are indexed by target.column. They are as long as the highest column
+	// used so far. latest holds idleConnections.last: decisions read it for each candidate.
 	byTarget []idleConnections
+	latest   []time.Duration
 	usedAt   time.Duration
 }
 
+// idle returns the connections to a target; nil if the entry never had any.
+func (e *entryConnections) idle(t *target) *idleConnections {
+	if e == nil || t.column >= len(e.byTarget) {
+		return nil
+	}
+	return &e.byTarget[t.column]
+}
+
+// update sets latest after a change of the connections to a target.
+func (e *entryConnections) update(column int) { e.latest[column] = e.byTarget[column].last() }
+
+// grow makes room for the given number of columns.
+func (e *entryConnections) grow(columns int) {
+	if missing := columns - len(e.byTarget); missing > 0 {
+		e.byTarget = append(e.byTarget, make([]idleConnections, missing)...)
+		e.latest = append(e.latest, make([]time.Duration, missing)...)
+	}
+}
+
 // connections estimates which entries have idle connections to which targets. The dispatcher
 // knows each grant with its entry and how it ended, so it needs no reports from entries.
 type connections struct {
@@ -110,6 +133,7 @@
 		for _, e := range c.entries {
 			if column < len(e.byTarget) {
 				e.byTarget[column] = idleConnections{}
+				e.update(column)
 			}
 		}
 	}
@@ -186,10 +210,10 @@
 // preference is what a placement decision needs to know about the connections of the entry.
 // The zero value has no effect.
 type preference struct {
-	now      time.Duration
-	known    bool
-	byTarget []idleConnections
-	limit    float64
+	now    time.Duration
+	known  bool
+	latest []time.Duration
+	limit  float64
 }
 
 // preference returns the preference for a request of an entry.
@@ -199,7 +223,7 @@
 	}
 	p := preference{now: now, known: true, limit: c.loadLimit(now, r.Service, targets)}
 	if e := c.entries[r.Entry]; e != nil {
-		p.byTarget = e.byTarget
+		p.latest = e.latest
 	}
 	return p
 }
@@ -209,7 +233,7 @@
 	if !p.known {
 		return
 	}
-	open := t.column < len(p.byTarget) && p.byTarget[t.column].open(p.now)
+	open := t.column < len(p.latest) && p.now < p.latest[t.column]
 	switch {
 	case !open && t.MaxConnections > 0 && t.outstanding+t.idle >= t.grantableConnections():
 		candidate.DistanceTokens += connectionLimitTokens
@@ -235,12 +259,11 @@
 	}
 	weight := c.loadWeight(now)
 	t.recentLoad += weight / float64(max(t.Slots, 1))
-	if e := c.entries[entry]; e != nil {
-		e.usedAt = now
-		if t.column < len(e.byTarget) && e.byTarget[t.column].open(now) {
-			e.byTarget[t.column].count--
-			t.idle--
-		}
+	e := c.entries[entry]
+	if idle := e.idle(t); idle != nil && now < idle.last() {
+		idle.count--
+		t.idle--
+		e.update(t.column)
 	}
 }
 
@@ -270,10 +293,8 @@
 		c.entries[entry] = e
 	}
 	e.usedAt = now
-	if len(e.byTarget) < len(c.columns) {
-		e.byTarget = slices.Grow(e.byTarget, len(c.columns)-len(e.byTarget))[:len(c.columns)]
-	}
-	idle := &e.byTarget[t.column]
+	e.grow(len(c.columns))
+	idle := e.idle(t)
 	t.idle -= idle.sweep(now)
 	if idle.count == MaxIdleConnections {
 		copy(idle.expires[:], idle.expires[1:])
@@ -283,13 +304,16 @@
 	idle.expires[idle.count] = now + IdleConnectionTime
 	idle.count++
 	t.idle++
+	e.update(t.column)
 }
 
 // drop forgets the connections of an entry to a target.
 func (c *connections) drop(entry string, t *target) {
-	if e := c.entries[entry]; e != nil && t.column < len(e.byTarget) {
-		t.idle -= int(e.byTarget[t.column].count)
-		e.byTarget[t.column] = idleConnections{}
+	e := c.entries[entry]
+	if idle := e.idle(t); idle != nil {
+		t.idle -= int(idle.count)
+		*idle = idleConnections{}
+		e.update(t.column)
 	}
 }
 
@@ -303,6 +327,7 @@
 		for column := range e.byTarget {
 			if idle := &e.byTarget[column]; idle.count > 0 {
 				c.columns[column].idle -= idle.sweep(now)
+				e.update(column)
 			}
 		}
 		if now > e.usedAt+IdleConnectionTime {
--- a/coord/dispatch/connections_test.go
+++ b/coord/dispatch/connections_test.go
@@ -130,7 +130,7 @@
 	open := func(d *Dispatcher, now time.Duration) bool {
 		p := d.connections.preference(now, &Request{Entry: "a", Service: "s"}, d.targetsByService["s"])
 		column := d.targets["t0"].column
-		return column < len(p.byTarget) && p.byTarget[column].open(now)
+		return column < len(p.latest) && now < p.latest[column]
 	}
 	for _, result := range []Result{Failed, Broken, Unreachable, NoPath, WrongTarget, Leaving} {
 		d := New(0, 1)
@@ -251,6 +251,7 @@
 				for _, e := range d.connections.entries {
 					if target.column < len(e.byTarget) {
 						idle += int(e.byTarget[target.column].count)
+						assert.Equal(t, e.byTarget[target.column].last(), e.latest[target.column])
 					}
 				}
 				assert.Equal(t, idle, target.idle)
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -75,7 +75,8 @@
 // hasCapacity reports whether the target can take another request that needs the
 // given number of tokens.
 func (t *target) hasCapacity(now time.Duration, need int64) bool {
-	if t.Draining || now < t.fullUntil || t.outstanding >= t.maxOutstanding() {
+	// Every target may hold at least one request more than it has slots.
+	if t.Draining || now < t.fullUntil || t.outstanding > max(t.Slots, 1) && t.outstanding >= t.maxOutstanding() {
 		return false
 	}
 	if t.rate != nil && !t.rate.available(now) {
--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -93,22 +93,32 @@
 	return n
 }
 
-// sampleConnected fills sampled with a random choice of the connected candidates and returns
-// their number.
+// sampleConnected fills sampled with connected candidates, beginning at a random one, and
+// returns their number.
 func sampleConnected(cs []Candidate, rng *rand.PCG, sampled []int32) int {
-	connected := 0
-	for i := range cs {
-		if !cs[i].Connected {
-			continue
+	first := 0
+	for first < len(cs) && !cs[first].Connected {
+		first++
+	}
+	if first == len(cs) {
+		return 0
+	}
+	n := 0
+	start := int(rng.Uint64() % uint64(len(cs)))
+	for k := range cs {
+		i := start + k
+		if i >= len(cs) {
+			i -= len(cs)
 		}
-		connected++
-		if connected <= len(sampled) {
-			sampled[connected-1] = int32(i)
-		} else if j := rng.Uint64() % uint64(connected); j < uint64(len(sampled)) {
-			sampled[j] = int32(i)
+		if cs[i].Connected {
+			sampled[n] = int32(i)
+			n++
+			if n == len(sampled) {
+				break
+			}
 		}
 	}
-	return min(connected, len(sampled))
+	return n
 }
 
 // cachedTokens returns the number of prompt tokens that the target has cached.
