Forward: idle connections within the limit that entries share

Cause: each entry keeps up to four idle connections to a target, whatever the target's max_conns and the number of entries: with 110 entries up to 440, while a target accepts 244. With four idle connections the newest one was closed and those that expire first were kept.

Change: control states the number of entries in its response to a watch (optional field; none from earlier builds or in the first 1.2 s of a control VM). An entry keeps its share of what a target's limit leaves after twice its slots, at least one connection and at most four. A surplus closes the oldest connection. The metric forward_connections_reused counts the requests on a kept connection, next to forward_connections_opened.

Measured: go test ./forward ./registry ./ledger of server and go test . of platform pass. With max_conns 244 and 12 slots an entry keeps four idle connections in a deployment of 15 entries and two in one of 110.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -105,6 +105,9 @@
 	DataCentre, Address string
 	// Connect makes a TCP connection to a target; nil for the default.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
+	// Entries returns the number of entries of the deployment, 0 if unknown; the function may be
+	// nil.
+	Entries func() int
 	// Peers returns the RPC addresses of entries that can reach targets; nil if requests are
 	// never relayed.
 	Peers func(ctx context.Context) ([]string, error)
@@ -138,11 +141,13 @@
 
 // New returns an entry. Run must be called to close its expired idle connections.
 func New(options Options) *Entry {
-	e := &Entry{options: options, pool: newConnPool(options.Connect)}
+	e := &Entry{options: options}
+	e.pool = newConnPool(options.Connect, e.maxIdle)
 	e.paths = newPaths(e)
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	gometrics.NewRegisteredFunctionalGauge("forward_active", options.Metrics, e.active.Load)
 	gometrics.NewRegisteredFunctionalGauge("forward_connections_opened", options.Metrics, e.pool.opened.Load)
+	gometrics.NewRegisteredFunctionalGauge("forward_connections_reused", options.Metrics, e.pool.reused.Load)
 	return e
 }
 
@@ -155,6 +160,24 @@
 	})
 }
 
+// maxIdle returns how many idle connections to a target this entry may keep: its share of
+// what the requests in progress at the target leave of the target's limit.
+func (e *Entry) maxIdle(target string) int {
+	view := e.options.View()
+	t, ok := view.Target(target)
+	if !ok || view.Table == nil || e.options.Entries == nil {
+		return dispatch.MaxIdleConnections
+	}
+	service, entries := view.Table.Service(t.Service), e.options.Entries()
+	if service == nil || service.MaxConnections == 0 || entries == 0 {
+		return dispatch.MaxIdleConnections
+	}
+	// A target holds up to twice as many requests as it has slots. With a share below one, the
+	// ledger's leader avoids targets that have as many connections as they accept.
+	left := service.MaxConnections - 2*max(t.Slots, 1)
+	return min(max(left/entries, 1), dispatch.MaxIdleConnections)
+}
+
 // Active returns the number of requests in progress.
 func (e *Entry) Active() int64 { return e.active.Load() }
 
--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -67,7 +67,8 @@
 	Signed bool
 	// Leaving is true if the target itself states that it leaves.
 	Leaving bool
-	// IdleTimeout is how long the target keeps an idle connection; 0 if not stated.
+	// IdleTimeout is how long the target keeps an idle connection; 0 if not stated, negative if
+	// it keeps none.
 	IdleTimeout time.Duration
 	// RateLimit is the number of requests per second that the target accepts from all VMs
 	// together; nil if the target states no limit.
--- a/server/forward/pool.go
+++ b/server/forward/pool.go
@@ -8,14 +8,16 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hemlockvale.dev/coord/dispatch"
 )
 
 const (
-	// maxIdlePerTarget bounds the idle connections to one target.
-	maxIdlePerTarget = 4
-	// defaultIdleTimeout is how long an idle connection is kept if the target states
-	// no idle timeout.
-	defaultIdleTimeout = 4 * time.Second
+	// defaultIdleTimeout is the idle timeout of a target that states none. The ledger's leader
+	// expects that idle connections are kept for dispatch.IdleConnectionTime.
+	defaultIdleTimeout = dispatch.IdleConnectionTime + idleMargin
+	// maxIdleTimeout bounds a stated idle timeout, so that an absurd one does not overflow.
+	maxIdleTimeout = time.Hour
 	// idleMargin is subtracted from the target's idle timeout, so that the target does
 	// not close a connection while a request is being sent on it.
 	idleMargin = 700 * time.Millisecond
@@ -24,8 +26,11 @@
 // connPool holds idle connections by target. It never retries a request: the
 // caller decides whether a request may be sent again.
 type connPool struct {
-	// opened counts the connections that were established.
-	opened atomic.Int64
+	// opened counts the connections that were established, and reused the requests for which
+	// an idle one was used.
+	opened, reused atomic.Int64
+	// maxIdle returns how many idle connections to a target may be kept.
+	maxIdle func(target string) int
 	// connect makes a TCP connection to a target.
 	connect func(ctx context.Context, address string) (net.Conn, error)
 
@@ -33,11 +38,11 @@
 	idle map[string][]*conn
 }
 
-func newConnPool(connect func(ctx context.Context, address string) (net.Conn, error)) *connPool {
+func newConnPool(connect func(ctx context.Context, address string) (net.Conn, error), maxIdle func(target string) int) *connPool {
 	if connect == nil {
 		connect = connectTCP
 	}
-	return &connPool{connect: connect, idle: make(map[string][]*conn)}
+	return &connPool{connect: connect, maxIdle: maxIdle, idle: make(map[string][]*conn)}
 }
 
 // get returns an idle connection to the target on which a request may be sent, or dials a new
@@ -49,6 +54,7 @@
 			break
 		}
 		if time.Now().Before(c.idleUntil) && c.isIdle() && c.usableFor(requestID) {
+			p.reused.Add(1)
 			return c, nil
 		}
 		c.Close()
@@ -98,24 +104,27 @@
 }
 
 // put returns a connection to the pool after a complete exchange. idle is the
-// target's idle timeout, or 0 if it stated none.
+// target's idle timeout, 0 if it stated none, or negative if it keeps none. If there are as
+// many idle connections as may be kept, the oldest one is closed, which expires first.
 func (p *connPool) put(target string, c *conn, idle time.Duration) {
 	if idle == 0 {
 		idle = defaultIdleTimeout
 	}
-	idle -= idleMargin
+	idle = max(min(idle, maxIdleTimeout), 0) - idleMargin
 	if idle <= 0 || c.reader.Buffered() > 0 || !c.awaitWritten() {
 		c.Close()
 		return
 	}
 	c.idleUntil = time.Now().Add(idle)
+	limit := p.maxIdle(target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[target]) >= maxIdlePerTarget {
-		c.Close()
-		return
+	list := append(p.idle[target], c)
+	surplus := max(len(list)-limit, 0)
+	for _, oldest := range list[:surplus] {
+		oldest.Close()
 	}
-	p.idle[target] = append(p.idle[target], c)
+	p.idle[target] = slices.Delete(list, 0, surplus)
 }
 
 // closeExpired closes idle connections that have expired or whose target is no
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -227,7 +227,7 @@
 	e := forward.New(forward.Options{
 		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
 		HistoryStores: follower.HistoryStores, HistoryCopies: p.historyCopies(), HeaderCodec: p.Adapter.HeaderCodec(),
-		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Stop: stopping.Load,
+		DataCentre: p.Settings.VM.DataCentre, Address: p.Settings.VM.RPCAddress, Peers: follower.Entries, Entries: follower.EntryCount, Stop: stopping.Load,
 		OnIsolation: func(lost bool) {
 			isolated.Store(lost)
 			go follower.Report(taskCtx)
--- a/server/registry/entries.go
+++ b/server/registry/entries.go
@@ -50,6 +50,15 @@
 	return addresses, g.options.AddressLifetime, nil
 }
 
+// entryCount returns the number of entries that reported recently; 0 while this control VM has
+// just started and may not have heard of all of them yet.
+func (g *Registry) entryCount() int {
+	if time.Since(g.started) < listingDelay {
+		return 0
+	}
+	return len(g.liveVMs("entry"))
+}
+
 // handleEntries returns entries that can take the requests of one that can't reach targets. A
 // control VM that has just started names none: it may not have heard of all of them yet.
 func (g *Registry) handleEntries(_ context.Context, params json.RawMessage) (any, error) {
--- a/server/registry/entries_test.go
+++ b/server/registry/entries_test.go
@@ -88,6 +88,19 @@
 	assert.NoError(t, err)
 }
 
+// TestEntryCount guards against a control VM that has just started and states too few entries,
+// so that each of them keeps too many idle connections to targets.
+func TestEntryCount(t *testing.T) {
+	g := &Registry{started: time.Now(), reports: make(map[string]*vmReport)}
+	for _, vm := range entryVMs("a", 7, false) {
+		vm.Role = "entry"
+		g.reports[vm.Node] = &vmReport{VM: vm, receivedAt: time.Now()}
+	}
+	assert.Zero(t, g.entryCount())
+	g.started = time.Now().Add(-listingDelay)
+	assert.Equal(t, 7, g.entryCount())
+}
+
 // TestChoosePeers guards against an entry that is named to itself, to be stopped or without
 // links itself, and against a few entries that get the requests of all others.
 func TestChoosePeers(t *testing.T) {
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -61,6 +61,8 @@
 	// lastResponse is the Unix time in nanoseconds of the last response from any
 	// control VM; 0 if there was none.
 	lastResponse atomic.Int64
+	// entryCount is the number of entries that control stated last; 0 if it stated none.
+	entryCount atomic.Int64
 
 	mu sync.Mutex
 	// watches holds the functions that end the watches, by control VM address.
@@ -88,6 +90,9 @@
 // View returns the latest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// EntryCount returns the number of entries that reported recently to control; 0 if unknown.
+func (f *Follower) EntryCount() int { return int(f.entryCount.Load()) }
+
 // Age returns the time since the last response from any control VM.
 func (f *Follower) Age() time.Duration {
 	return time.Duration(time.Now().UnixNano() - f.lastResponse.Load())
@@ -274,6 +279,9 @@
 	}
 	state.reported = self
 	f.lastResponse.Store(time.Now().UnixNano())
+	if response.Entries > 0 {
+		f.entryCount.Store(int64(response.Entries))
+	}
 	if response.Members != nil {
 		state.membersDigest = response.Members.digest()
 		f.setMembers(address, *response.Members)
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -98,6 +98,8 @@
 	Unknown bool `json:"u,omitempty"`
 	// Members is nil if the digest in the request is up to date.
 	Members *Members `json:"m,omitempty"`
+	// Entries is the number of entries that reported recently; 0 if not stated.
+	Entries int `json:"e,omitempty"`
 }
 
 // Members lists the control and store VMs that one control VM knows.
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -104,6 +104,7 @@
 type cachedMembers struct {
 	Members
 	digest     uint64
+	entries    int
 	computedAt time.Time
 }
 
--- a/server/registry/watch.go
+++ b/server/registry/watch.go
@@ -26,29 +26,31 @@
 	if r.Known == heartbeatOnly {
 		return response, nil
 	}
-	if members, digest := g.members(); digest != r.Members {
-		response.Members = &members
+	members := g.members()
+	response.Entries = members.entries
+	if members.digest != r.Members {
+		response.Members = &members.Members
 	}
 	return response, nil
 }
 
-// members returns the members and their digest. They are needed for each watch, so a
+// members returns the members, their digest and the number of entries. They are needed for each watch, so a
 // computed list is reused for membersValidity.
-func (g *Registry) members() (Members, uint64) {
+func (g *Registry) members() cachedMembers {
 	g.mu.Lock()
 	cached := g.cachedMembers
 	g.mu.Unlock()
 	if time.Since(cached.computedAt) < membersValidity {
-		return cached.Members, cached.digest
+		return cached
 	}
 	members := Members{Control: g.controlAddresses()}
 	members.StoreLeader, members.Stores = g.liveStores()
 	members.HistoryStores = g.historyStores()
-	cached = cachedMembers{members, members.digest(), time.Now()}
+	cached = cachedMembers{members, members.digest(), g.entryCount(), time.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.cachedMembers = cached
-	return cached.Members, cached.digest
+	return cached
 }
 
 // watchTimeout returns the current watch timeout.
