--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -233,6 +233,8 @@
 		return ReasonSuspect
 	case cachedTokens(r, c) > 0:
 		return ReasonCached
+	case c.Connected:
+		return ReasonConnected
 	default:
 		return ReasonLoad
 	}
--- a/coord/placement/place_test.go
+++ b/coord/placement/place_test.go
@@ -230,3 +230,30 @@
 		}
 	}
 }
+
+// TestConnectedCandidatesAreSampled guards against a random sample of many candidates that
+// misses those with an open connection, and against connections that matter more than load.
+func TestConnectedCandidatesAreSampled(t *testing.T) {
+	p := DefaultPolicy()
+	p.JitterTokens = 5
+	chosen := make(map[string]int)
+	for seed := range uint64(400) {
+		cs := make([]Candidate, 100)
+		for i := range cs {
+			cs[i] = Candidate{ID: fmt.Sprint(i), MaxBatch: 6, DistanceTokens: 10}
+			if i >= 80 {
+				cs[i].Connected, cs[i].DistanceTokens = true, 0
+			}
+		}
+		d := Place(p, Request{}, cs, seed)
+		assert.Equal(t, ReasonConnected, d.Reason)
+		chosen[d.Target]++
+		for i := range cs {
+			if cs[i].Connected {
+				cs[i].Running = 1
+			}
+		}
+		assert.Equal(t, ReasonLoad, Place(p, Request{}, cs, seed).Reason)
+	}
+	assert.Len(t, chosen, 20, "all connected candidates are chosen from time to time")
+}
--- a/coord/placement/policy.go
+++ b/coord/placement/policy.go
@@ -70,6 +70,8 @@
 const (
 	// ReasonCached means that the chosen target holds a part of the prefix.
 	ReasonCached = "cached"
+	// ReasonConnected means that a connection to the chosen target is open.
+	ReasonConnected = "connected"
 	// ReasonLoad means that the chosen target has the lowest cost although it holds
 	// no part of the prefix.
 	ReasonLoad = "load"
