--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -46,8 +46,9 @@
 	grants  map[string]*grant
 	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
-	programs *programs
-	medians  map[string]*cachedMedian
+	programs    *programs
+	connections connections
+	medians     map[string]*cachedMedian
 	// waiting holds the requests that have no outcome yet, by id.
 	waiting map[string]*waitingRequest
 	// awaitingToken holds the times at which requests get the rate limit token of their
@@ -67,6 +68,7 @@
 type grant struct {
 	target       *target
 	organisation string
+	entry        string
 	tokens       int64
 	grantedAt    time.Duration
 	expiry       *deadline
@@ -79,7 +81,8 @@
 	// Independent decision makers need jitter so that those with equal views do not
 	// all choose the same target. One dispatcher sees all requests, so a little
 	// jitter is enough.
-	policy.JitterTokens = 20
+	// It is less than the cost of a new connection.
+	policy.JitterTokens = 5
 	return &Dispatcher{
 		startedAt:        now,
 		policy:           policy,
@@ -93,6 +96,7 @@
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
+		connections:      newConnections(now),
 		medians:          make(map[string]*cachedMedian),
 		waiting:          make(map[string]*waitingRequest),
 	}
@@ -134,6 +138,7 @@
 		d.noteColdEnd(t)
 	}
 	d.attachRates(now)
+	d.connections.setTargets(now, d.targets, d.targetsByService)
 	return d.grantAllWaiting(now)
 }
 
@@ -259,6 +264,7 @@
 	g := d.grants[id]
 	if g != nil && g.target.ID == targetID {
 		d.release(id, g)
+		d.connections.ended(now, g.entry, g.target, result)
 		switch result {
 		case Completed, Failed, Broken:
 			g.target.stats.record(now, now-g.grantedAt, units, result != Completed)
@@ -308,6 +314,7 @@
 	d.endColdPeriods(now)
 	d.programs.sweep(now)
 	d.origins.sweep(now)
+	d.connections.sweep(now)
 	return d.grantAllWaiting(now)
 }
 
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -63,6 +63,12 @@
 	// cold is nil while the target is warm.
 	cold  *coldRate
 	stats targetStats
+	// column is the index of the target in the tables of connections, idle the number of
+	// connections to it that are probably idle, and recentLoad the sum of the weights of its
+	// recent grants for each slot.
+	column     int
+	idle       int
+	recentLoad float64
 }
 
 func newTarget(t Target) *target {
@@ -76,7 +82,8 @@
 // hasCapacity reports whether the target can take another request that needs the
 // given number of tokens.
 func (t *target) hasCapacity(now time.Duration, need int64) bool {
-	if t.Draining || now < t.fullUntil || t.outstanding >= t.maxOutstanding() {
+	// Every target may hold at least one request more than it has slots.
+	if t.Draining || now < t.fullUntil || t.outstanding > max(t.Slots, 1) && t.outstanding >= t.maxOutstanding() {
 		return false
 	}
 	if t.rate != nil && !t.rate.available(now) {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -45,6 +45,9 @@
 	// requests per second that it accepts until then; 0 means no limit.
 	ColdUntil     time.Duration
 	ColdPerSecond float64
+	// MaxConnections is the maximum number of connections that the target accepts from all
+	// VMs together; 0 means no limit.
+	MaxConnections int
 }
 
 // Part is a section of a prompt that several requests may share.
@@ -131,6 +134,9 @@
 	// continues, and inDoubt is set while the software of that origin is uncertain.
 	origin  string
 	inDoubt bool
+	// Entry identifies the sending VM; empty if unknown. The receiver sets it, so it is not
+	// part of the message.
+	Entry string `json:"-" msgpack:"-"`
 }
 
 // pinned reports whether only some targets of the service may get the request.
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -193,6 +193,9 @@
 		}
 		if view.Table != nil {
 			s := view.Table.Service(t.Service)
+			if s != nil {
+				target.MaxConnections = s.MaxConnections
+			}
 			if s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
 			}
