Ledger: repeat settlements until they are applied, and reserve whole events

Cause: an entry sent the settlement of a turn once, in a done report without a response. A report that was lost with a connection, a suspended leader, a change of leader or a batch that was not committed left the turn charged at its maximum for good. The release of a refused request was lost with its batch as well. A new leader refused turns with 402 by what was charged before entries could tell it otherwise. Delivered tokens are counted in whole events and capped at the reservation, so a budget was overdrawn if a turn's maximum was not a multiple of an event.

Change: an entry keeps its settlements (coord/ledger.Outstanding, 8,192 at most) until the leader acknowledges that they are applied in the replicated log. It repeats them over each new connection and after 400 ms without an acknowledgement; a connection with outstanding settlements counts as one with pending requests, so a silent leader is noticed after 400 ms. Acknowledgements go with the next message to the entry, or after 50 ms. A later connection of an entry supersedes the earlier ones, so that a late message reserves nothing for a request that is settled. For 3 s after an election and 1 s after a failed batch, a turn that settlements may make room for gets 503 instead of 402. Reservations are rounded up to whole events. The messages are new kinds, which earlier releases ignore; for their leaders settlements are repeated as done reports.

--- /dev/null
+++ b/coord/ledger/settling.go
@@ -0,0 +1,46 @@
+package ledger
+
+import "time"
+
+const (
+	// settlingAfterElection bounds the time in which entries repeat their settlements to a new
+	// leader. An entry that waits for an acknowledgement notices within 0.52 s that a leader is
+	// silent, and any other within 2 s; both find the next leader within 0.7 s.
+	settlingAfterElection = 3 * time.Second
+	// settlingAfterFailure is the same after a batch of settlements that was not committed:
+	// a repetition, and its commit.
+	settlingAfterFailure = SettlementRetryDelay + 600*time.Millisecond
+)
+
+// Settling tells a leader whether settlements may be outstanding that it has not heard of or
+// could not commit. Reservations can then be charged at their maximum although their turns
+// have ended. The zero value tells that there are none. Times are on the boot clock.
+type Settling struct{ until time.Duration }
+
+// Elected is called when a leadership starts.
+func (s *Settling) Elected(now time.Duration) { s.until = now + settlingAfterElection }
+
+// Failed is called when settlements were not committed.
+func (s *Settling) Failed(now time.Duration) { s.until = max(s.until, now+settlingAfterFailure) }
+
+// Left returns how long settlements may still be outstanding; 0 if there are none.
+func (s *Settling) Left(now time.Duration) time.Duration { return max(0, s.until-now) }
+
+// FitsSettled reports whether the program's budget would cover another turn if its open
+// reservations were settled with no tokens. If it does not, no settlement can change that.
+func (s *State) FitsSettled(r Reserve) bool {
+	if a := s.accounts[r.Program]; a != nil {
+		return a.Spent+r.Tokens <= r.Budget
+	}
+	return r.Tokens <= r.Budget
+}
+
+// WholeEvents returns the number of tokens of the least whole number of events that contains
+// the given tokens. Delivered tokens are counted in whole events, so the last event of a turn
+// can exceed the turn's maximum, and a reservation has to include all of it.
+func WholeEvents(tokens, perEvent int64) int64 {
+	if perEvent <= 1 || tokens <= 0 {
+		return tokens
+	}
+	return (tokens + perEvent - 1) / perEvent * perEvent
+}
--- a/server/forward/prepare.go
+++ b/server/forward/prepare.go
@@ -96,7 +96,11 @@
 	if x.organisation != nil {
 		p.Organisation = x.organisation.Name
 	}
-	return &ledger.Reserve{Program: p, Request: x.call.ID, Budget: x.call.TokenBudget, Tokens: x.call.OutputTokens, RetentionSeconds: int64(x.route.Retention() / time.Second)}
+	tokens := x.call.OutputTokens
+	if x.service.Engine != nil {
+		tokens = ledger.WholeEvents(tokens, x.service.Engine.TokensPerEvent)
+	}
+	return &ledger.Reserve{Program: p, Request: x.call.ID, Budget: x.call.TokenBudget, Tokens: tokens, RetentionSeconds: int64(x.route.Retention() / time.Second)}
 }
 
 // readBody checks the sizes of the header and the body and reads the body. It returns
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -59,7 +59,7 @@
 		r.ContinuesProgram = !r.StartsProgram
 		r.BudgetTurns = float64(r.Reserve.Budget) / float64(max(r.Reserve.Tokens, 1))
 		if h.reserve(*r.Reserve, a.link) == nil {
-			h.finish(a, AdmitResponse{Refusal: BudgetExhausted})
+			h.finish(a, h.refuseBudget(*r.Reserve))
 			return
 		}
 		// Another entry may have made the reservation before it passed the request on.
@@ -165,11 +165,8 @@
 }
 
 // done ends a request that ran at a target, or one whose caller disconnected while it
-// was queued. The caller holds h.mu.
+// was queued. It does not settle the request. The caller holds h.mu.
 func (h *Host) done(entry string, r DoneReport) {
-	if r.Settle != nil {
-		h.batcher.add(operation{settle: r.Settle})
-	}
 	if r.Target != "" {
 		switch r.Result {
 		case dispatch.Completed, dispatch.Failed:
--- a/server/ledger/batcher.go
+++ b/server/ledger/batcher.go
@@ -32,7 +32,7 @@
 	leaving        *catalog.Incarnation
 	retiredStorage string
 	// onOutcome receives the outcome: whether a reservation is covered or a keep was
-	// accepted. It may be nil for a settlement.
+	// accepted. It may be nil for a settlement of an entry that gets no acknowledgements.
 	onOutcome func(accepted bool, err error)
 }
 
@@ -52,8 +52,8 @@
 	return &batcher{quorum: q, log: log, queue: make(chan operation, batchQueueSize)}
 }
 
-// add queues an operation. If the queue is full, a reservation fails, and a settlement
-// is dropped, so the turn stays charged with its maximum number of tokens.
+// add queues an operation. If the queue is full, a reservation fails, and a settlement is
+// dropped and not acknowledged; the entry repeats it.
 func (b *batcher) add(op operation) {
 	select {
 	case b.queue <- op:
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/history"
@@ -49,15 +51,20 @@
 	Leader func() string
 	// Stores returns the RPC addresses of all known store VMs.
 	Stores func() []string
+	// Entry identifies this entry among those of the deployment; empty means a random name.
+	Entry string
 	// Log receives the client's events.
 	Log *logrus.Entry
+	// Metrics receives the counters of settlements; nil means that they are not published.
+	Metrics gometrics.Registry
 }
 
 // Client sends admission requests and done reports from an entry to the ledger's
 // leader. It is safe for concurrent use.
 type Client struct {
-	options ClientOptions
-	reports chan queuedReport
+	options     ClientOptions
+	reports     chan queuedReport
+	settlements *settlementTracker
 
 	mu   sync.Mutex
 	link *clientLink
@@ -98,7 +105,10 @@
 
 // NewClient returns a client. Run must be called to send its done reports.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, reports: make(chan queuedReport, reportQueueSize), rates: make(knownRates), earlier: make(map[string]bool), origins: knownOrigins{byRequest: make(map[string]originUntil)}, offset: rand.IntN(math.MaxInt16)}
+	if options.Entry == "" {
+		options.Entry = uuid.NewString()
+	}
+	return &Client{options: options, settlements: newSettlementTracker(options.Log, options.Metrics), reports: make(chan queuedReport, reportQueueSize), rates: make(knownRates), earlier: make(map[string]bool), origins: knownOrigins{byRequest: make(map[string]originUntil)}, offset: rand.IntN(math.MaxInt16)}
 }
 
 // Admit requests a target for r and retries until a store VM decides about it. It
@@ -106,7 +116,7 @@
 func (c *Client) Admit(ctx context.Context, r AdmitRequest) (AdmitResponse, error) {
 	start := time.Now()
 	timeLimit := r.TimeLeft
-	for {
+	for sent := false; ; sent = true {
 		searchCtx, cancel := context.WithTimeout(ctx, c.leaderWait(timeLimit)-time.Since(start))
 		l := c.connect(searchCtx)
 		cancel()
@@ -114,12 +124,17 @@
 			return AdmitResponse{}, fmt.Errorf("%w: %w", ErrUnavailable, context.DeadlineExceeded)
 		}
 		if l.load.refuses(&r) {
+			if sent && r.Reserve != nil {
+				// The leader that the request was sent to before may have reserved its tokens.
+				c.settlements.add(*Settlement(r.Reserve, 0), 0)
+			}
 			return refusedByEntry(&r), nil
 		}
 		r.TimeLeft = timeLimit - time.Since(start)
 		response, err := l.admit(ctx, r)
 		if err == nil {
 			c.recordResponse(l, r, response)
+			c.trackRelease(l, r, response)
 			return response, nil
 		}
 		if ctx.Err() != nil {
@@ -249,13 +264,16 @@
 	c.options.Log.WithFields(logrus.Fields{"event": "ledger_contact", "lost": true, "asked": address, "error": err}).Warn("store VM does not admit requests")
 }
 
-// Done queues a done report. It never blocks.
+// Done queues a done report. It never blocks. The settlement in the report is repeated until a
+// leader has acknowledged it.
 func (c *Client) Done(r DoneReport) {
+	if r.Settle != nil {
+		c.settlements.add(*r.Settle, ledger.SettlementRetryDelay)
+	}
 	select {
 	case c.reports <- queuedReport{r, time.Now()}:
 	default:
-		// The leader drops the grant when it expires, and a turn stays charged with its
-		// maximum number of tokens.
+		// The leader drops the grant when it expires.
 		c.options.Log.WithFields(logrus.Fields{"event": "done_dropped", "request": r.ID}).Warn("done report dropped: the queue is full")
 	}
 }
@@ -269,10 +287,11 @@
 	return &ledger.Settle{Program: r.Program, Request: r.Request, Used: used}
 }
 
-// Run sends the queued done reports until ctx ends. A report that was being sent when
-// the connection failed can be lost: the grant then expires, and a turn stays charged
-// with its maximum number of tokens.
+// Run sends the queued done reports until ctx ends, and repeats settlements until they are
+// acknowledged. A report that was being sent when the connection failed can be lost; the grant
+// then expires.
 func (c *Client) Run(ctx context.Context) {
+	go c.repeatSettlements(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockvale.dev/coord/history"
@@ -57,6 +58,10 @@
 
 	// load is the load of the leader.
 	load leaderLoad
+	// settlements receives the acknowledgements of the leader; nil before the entry has
+	// introduced itself. acknowledges is set once the leader has shown that it sends them.
+	settlements  atomic.Pointer[settlementTracker]
+	acknowledges atomic.Bool
 
 	writeMu sync.Mutex
 
@@ -192,6 +197,15 @@
 			return err
 		}
 		l.load.set(report.RefusedShare)
+	case kindSettled:
+		var settled settledMessage
+		if err := compact.Unmarshal(payload, &settled); err != nil {
+			return err
+		}
+		l.acknowledges.Store(true)
+		if tracker := l.settlements.Load(); tracker != nil {
+			tracker.acknowledge(settled.Requests)
+		}
 	case kindNotLeader:
 		var n notLeader
 		if err := compact.Unmarshal(payload, &n); err != nil {
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -101,6 +101,10 @@
 	// that they waited for a target.
 	outcomeCounters map[string]gometrics.Counter
 	waitedTimer     gometrics.Timer
+	// settlementCounters count settlements by what became of them.
+	settlementCounters settlementCounters
+	// settling tells whether entries may have settlements that are not known here.
+	settling ledger.Settling
 	// overload controls refusedShare, the share of programs whose requests entries refuse.
 	overload     overload.Controller
 	refusedShare float64
@@ -115,6 +119,7 @@
 	h := &Host{
 		options: options, batcher: newBatcher(options.Quorum, options.Log), inbox: newInbox(), checkSlots: make(chan struct{}, maxChecks),
 		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics), links: make(map[*link]struct{}),
+		settlementCounters: newSettlementCounters(options.Metrics),
 	}
 	h.reset()
 	return h
@@ -156,6 +161,7 @@
 	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
 	h.overload, h.refusedShare = overload.Controller{}, 0
+	h.settling.Elected(bootclock.Now())
 	current := &leadership{since: since}
 	current.lease.extend(leaseExpiry)
 	h.leadership.Store(current)
@@ -224,6 +230,7 @@
 	h.logLease()
 	h.updateLoad()
 	h.dropLinks()
+	h.flushAcks()
 	h.inbox.wake()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.grants().Tick(bootclock.Now()))
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,11 +38,27 @@
 	// statedShare and statedAt describe the latest load report to the entry.
 	statedShare float64
 	statedAt    time.Duration
+	// entry identifies the entry, and acknowledges is set if it gets acknowledgements; both are
+	// protected by the host's mu.
+	entry        string
+	acknowledges bool
+	// superseded is set once the entry has another connection.
+	superseded atomic.Bool
+
+	ackMu sync.Mutex
+	// acks are the requests whose settlements are applied and not acknowledged yet, the first
+	// since ackedAt.
+	acks    []string
+	ackedAt time.Duration
 }
 
-// served reports whether this VM is still the leader to which the entry has introduced itself.
-// The entry has to introduce itself to each new one.
+// served reports whether this VM is still the leader to which the entry has introduced itself,
+// and whether this is the entry's latest connection. The entry has to introduce itself to each
+// new leader.
 func (l *link) served() bool {
+	if l.superseded.Load() {
+		return false
+	}
 	current := l.leadership.Load()
 	return current != nil && current == l.host.leadership.Load() && l.host.leads()
 }
@@ -169,6 +187,9 @@
 		select {
 		case message = <-l.queue:
 		default:
+			if _, err := w.Write(l.takeAcks(math.MaxInt64)); err != nil {
+				return err
+			}
 			return w.Flush()
 		}
 	}
@@ -182,6 +203,10 @@
 		l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
 		return
 	}
+	l.sendEncoded(message)
+}
+
+func (l *link) sendEncoded(message []byte) {
 	select {
 	case l.queue <- message:
 	default:
@@ -229,13 +254,24 @@
 // handleReport handles a message that needs no lease. The caller holds h.mu.
 func (l *link) handleReport(k messageKind, payload []byte) error {
 	h := l.host
+	if l.superseded.Load() && k != kindDone {
+		// The entry has replaced the connection while this message waited for h.mu.
+		return nil
+	}
 	switch k {
 	case kindConfirm:
 		return handleMessage(payload, func(r ledger.Reserve) { h.confirm(r, l) })
 	case kindKeep:
 		return handleMessage(payload, func(r keepRequest) { h.keep(r, l) })
 	case kindDone:
-		return handleMessage(payload, func(r DoneReport) { h.done(l.entryHost(), r) })
+		return handleMessage(payload, func(r DoneReport) {
+			if r.Settle != nil {
+				h.settle(l, *r.Settle)
+			}
+			h.done(l.entryHost(), r)
+		})
+	case kindSettlements:
+		return handleMessage(payload, func(list settlementList) { h.recordSettlements(l, list) })
 	case kindTargetRates:
 		return handleMessage(payload, h.recordRates)
 	case kindLeaving:
--- a/server/ledger/linkmonitor.go
+++ b/server/ledger/linkmonitor.go
@@ -6,8 +6,8 @@
 	// pingInterval is the time without a message from the store VM, while requests are pending,
 	// after which a ping is sent.
 	pingInterval = 120 * time.Millisecond
-	// silenceTimeout is the time without a message from the store VM, while requests
-	// are pending, after which the connection is closed.
+	// silenceTimeout is the time without a message from the store VM, while requests or
+	// settlements are pending, after which the connection is closed.
 	silenceTimeout = 400 * time.Millisecond
 	// idlePingInterval and idleSilenceTimeout are the same while no request is pending. The
 	// store VM closes a connection on which it receives nothing for rpc.SilenceTimeout.
@@ -28,7 +28,8 @@
 		case <-ticker.C:
 		}
 		l.mu.Lock()
-		pending := len(l.pendingAdmissions) > 0 || l.pendingConfirms > 0 || len(l.pendingKeeps) > 0
+		tracker := l.settlements.Load()
+		pending := len(l.pendingAdmissions) > 0 || l.pendingConfirms > 0 || len(l.pendingKeeps) > 0 || tracker != nil && tracker.len() > 0
 		if pending && wasIdle {
 			// The silence timeout starts at the first check with a pending request.
 			l.lastReceived = time.Now()
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -96,6 +96,14 @@
 	return m.state.Fits(r)
 }
 
+// fitsSettled reports whether the program's budget would cover another turn if its open
+// reservations were settled with no tokens.
+func (m *Machine) fitsSettled(r ledger.Reserve) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.FitsSettled(r)
+}
+
 func (m *Machine) charged(p ledger.Program) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -63,6 +63,10 @@
 	// earlier release, knows the current one. Earlier releases ignore it; others close the
 	// connection.
 	kindNewRelease
+	// kindSettlements introduces an entry that repeats its settlements until they are
+	// acknowledged, and repeats them; kindSettled acknowledges them. Earlier releases ignore both.
+	kindSettlements
+	kindSettled
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
--- a/server/ledger/reconnect.go
+++ b/server/ledger/reconnect.go
@@ -44,9 +44,12 @@
 	}
 }
 
-// introduce tells a new leader what this entry knows of targets and streams. It must be
+// introduce tells a new leader what this entry knows of settlements, targets and streams. It must be
 // sent before the first request on the connection. The caller holds c.mu.
 func (c *Client) introduce(l *clientLink) error {
+	if err := c.introduceSettlements(l); err != nil {
+		return err
+	}
 	if reports := c.rates.reports(); len(reports) > 0 {
 		if err := l.send(kindTargetRates, reports); err != nil {
 			return err
--- a/server/ledger/reservations.go
+++ b/server/ledger/reservations.go
@@ -58,7 +58,7 @@
 	case covered:
 		res.state = stateDurable
 	default:
-		res.state = stateExhausted
+		res.state = h.uncovered(res.Reserve)
 	}
 	for _, l := range res.waiters {
 		l.send(kindReservationOutcome, &reservationOutcome{ID: res.Request, State: res.state})
@@ -80,7 +80,7 @@
 // again. The caller holds h.mu.
 func (h *Host) confirm(r ledger.Reserve, l *link) {
 	if h.reserve(r, l) == nil {
-		l.send(kindReservationOutcome, &reservationOutcome{ID: r.Request, State: stateExhausted})
+		l.send(kindReservationOutcome, &reservationOutcome{ID: r.Request, State: h.uncovered(r)})
 		return
 	}
 	h.watchReservation(&r, l)
@@ -101,13 +101,3 @@
 		res.waiters = append(res.waiters, l)
 	}
 }
-
-// releaseReservation settles with 0 tokens the reservation of a request that will not
-// run, if this leader or an earlier one has made one.
-func (h *Host) releaseReservation(a *admission) {
-	r := a.request.Reserve
-	if r == nil || h.reservations[r.Request] == nil && !h.options.Machine.reserves(r.Program, r.Request) {
-		return
-	}
-	h.batcher.add(operation{settle: Settlement(r, 0)})
-}
--- /dev/null
+++ b/server/ledger/settlements_test.go
@@ -0,0 +1,347 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/compact"
+)
+
+func (s *testStore) charged(r AdmitRequest) int64 {
+	return s.host.options.Machine.charged(r.Reserve.Program)
+}
+
+// awaitCharged waits until the program of a turn is charged with the given tokens.
+func (s *testStore) awaitCharged(t *testing.T, r AdmitRequest, want int64) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.charged(r) == want }, 20*time.Second, time.Millisecond)
+}
+
+// beginTurn admits a turn and waits until its reservation is durable.
+func beginTurn(t *testing.T, c *Client, r AdmitRequest) {
+	t.Helper()
+	response, err := c.Admit(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, "t", response.Target)
+	require.NoError(t, c.Confirm(t.Context(), *r.Reserve))
+}
+
+// endTurn reports the end of a turn.
+func endTurn(c *Client, r AdmitRequest, used int64) {
+	c.Done(DoneReport{ID: r.ID, Target: "t", Result: dispatch.Completed, Settle: Settlement(r.Reserve, used)})
+}
+
+// TestSettlementSurvivesALostConnection guards against a turn that stays charged at its maximum
+// because its done report was written to a connection that nobody reads any more.
+func TestSettlementSurvivesALostConnection(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	p := newLossyPath(t, s.address)
+	c := startClient(t, p.addresses)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	p.cut()
+	endTurn(c, turn, 10)
+	s.awaitCharged(t, turn, 10)
+}
+
+// TestSettlementSurvivesALeader guards against a turn that stays charged at its maximum because
+// its done report went to a leader that had been suspended, and whose successor never hears of it.
+func TestSettlementSurvivesALeader(t *testing.T) {
+	dir := t.TempDir()
+	s := startStore(t, dir)
+	s.awaitLeader(t)
+	p := newLossyPath(t, s.address)
+	c := startClient(t, p.addresses)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	p.cut()
+	endTurn(c, turn, 10)
+	s.stop()
+	s = startStore(t, dir)
+	p.leadTo(s.address)
+	s.awaitCharged(t, turn, 10)
+}
+
+// TestSettlementSurvivesALostReport guards against a settlement that is lost while its connection
+// lives on, as in a store VM whose queue is full.
+func TestSettlementSurvivesALostReport(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	p := newLossyPath(t, s.address)
+	p.filter(func(k messageKind, _ []byte) bool { return k != kindDone })
+	c := startClient(t, p.addresses)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	s.awaitCharged(t, turn, 10)
+}
+
+// faultyProposer does not commit the first batches that contain settlements.
+type faultyProposer struct {
+	proposer
+	failures atomic.Int64
+}
+
+var errNoQuorum = errors.New("no quorum")
+
+func (p *faultyProposer) Propose(ctx context.Context, data []byte) (any, error) {
+	if c, err := decodeCommand(data); err == nil && len(c.Settles) > 0 && p.failures.Add(-1) >= 0 {
+		return nil, errNoQuorum
+	}
+	return p.proposer.Propose(ctx, data)
+}
+
+// startFaultyStore starts a store VM that does not commit the first batches that contain
+// settlements.
+func startFaultyStore(t *testing.T, failures int64) (*testStore, *faultyProposer) {
+	t.Helper()
+	s := openStore(t, t.TempDir())
+	faulty := &faultyProposer{proposer: s.host.batcher.quorum}
+	faulty.failures.Store(failures)
+	s.host.batcher.quorum = faulty
+	go s.host.Run(s.ctx)
+	s.awaitLeader(t)
+	return s, faulty
+}
+
+// TestSettlementSurvivesAnUncommittedBatch guards against a turn that stays charged at its
+// maximum because the batch with its settlement was not committed.
+func TestSettlementSurvivesAnUncommittedBatch(t *testing.T) {
+	s, faulty := startFaultyStore(t, 2)
+	c := startClient(t, func() []string { return []string{s.address} })
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	s.awaitCharged(t, turn, 10)
+	assert.Negative(t, faulty.failures.Load())
+}
+
+// TestReleaseSurvivesAnUncommittedBatch guards against a request that did not run, and whose
+// reservation stays charged because the batch that released it was not committed.
+func TestReleaseSurvivesAnUncommittedBatch(t *testing.T) {
+	s, faulty := startFaultyStore(t, 1)
+	c := startClient(t, func() []string { return []string{s.address} })
+	turn := turnRequest("a", 100, 60)
+	turn.Service = "service without targets"
+	response, err := c.Admit(t.Context(), turn)
+	require.NoError(t, err)
+	require.NotEmpty(t, response.Refusal)
+	require.Eventually(t, func() bool { return faulty.failures.Load() < 0 }, 20*time.Second, time.Millisecond)
+	s.awaitCharged(t, turn, 0)
+}
+
+// admitted sends an admission request of another turn and returns its outcome.
+func admitted(t *testing.T, c *Client, id string, tokens int64) AdmitResponse {
+	t.Helper()
+	response, err := c.Admit(t.Context(), turnRequest(id, 100, tokens))
+	require.NoError(t, err)
+	return response
+}
+
+// TestBudgetIsNotExhaustedBeforeSettlementsAreKnown guards against a 402 for a program whose turn
+// has ended within its budget, because a new leader does not know of the end yet.
+func TestBudgetIsNotExhaustedBeforeSettlementsAreKnown(t *testing.T) {
+	dir := t.TempDir()
+	s := startStore(t, dir)
+	s.awaitLeader(t)
+	p := newLossyPath(t, s.address)
+	c := startClient(t, p.addresses)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	p.cut()
+	endTurn(c, turn, 10)
+	s.stop()
+	s = startStore(t, dir)
+	s.awaitLeader(t)
+	other := startClient(t, func() []string { return []string{s.address} })
+	require.NotNil(t, other.connect(t.Context()))
+	s.holdSettling(time.Hour)
+	response := admitted(t, other, "b", 50)
+	assert.Equal(t, BudgetUnsettled, response.Refusal, "turn a is charged with 60 tokens, but has used 10")
+	assert.Positive(t, response.RetryAfter)
+	assert.Equal(t, BudgetExhausted, admitted(t, other, "c", 101).Refusal, "no settlement can make room for this turn")
+	p.leadTo(s.address)
+	s.awaitCharged(t, turn, 10)
+	assert.Empty(t, admitted(t, other, "d", 50).Refusal)
+}
+
+// holdSettling makes the leader expect outstanding settlements for the given time.
+func (s *testStore) holdSettling(d time.Duration) {
+	s.host.mu.Lock()
+	defer s.host.mu.Unlock()
+	s.host.settling = ledger.Settling{}
+	if d > 0 {
+		s.host.settling.Elected(bootclock.Now() + d)
+	}
+}
+
+// TestReservationIsNotExhaustedBeforeSettlementsAreKnown guards against a turn that is broken off
+// after a change of leader as if its budget were exhausted.
+func TestReservationIsNotExhaustedBeforeSettlementsAreKnown(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	first := turnRequest("a", 100, 60)
+	beginTurn(t, c, first)
+	s.holdSettling(time.Hour)
+	// The reservation of this turn was made by an earlier leader that did not commit it.
+	confirmed := make(chan error, 1)
+	go func() { confirmed <- c.Confirm(t.Context(), *turnRequest("b", 100, 50).Reserve) }()
+	endTurn(c, first, 10)
+	require.NoError(t, <-confirmed)
+	s.holdSettling(0)
+	assert.ErrorIs(t, c.Confirm(t.Context(), *turnRequest("c", 100, 50).Reserve), ErrExhausted)
+}
+
+// TestUncommittedSettlementsDelayExhaustion guards against a 402 while a settlement is repeated
+// that the leader could not commit.
+func TestUncommittedSettlementsDelayExhaustion(t *testing.T) {
+	s, _ := startFaultyStore(t, 1)
+	s.holdSettling(0)
+	c := startClient(t, func() []string { return []string{s.address} })
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	require.Eventually(t, func() bool {
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		return s.host.settling != ledger.Settling{}
+	}, 20*time.Second, time.Millisecond)
+}
+
+// TestAcknowledgedSettlementsAreForgotten guards against an entry that repeats settlements which
+// are applied, and whose list of them grows.
+func TestAcknowledgedSettlementsAreForgotten(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	s.setTargets("many")
+	c := startClient(t, func() []string { return []string{s.address} })
+	for n := range 5 {
+		turn := turnRequest(fmt.Sprint(n), 1000, 60)
+		response, err := c.Admit(t.Context(), turn)
+		require.NoError(t, err)
+		c.Done(DoneReport{ID: turn.ID, Target: response.Target, Result: dispatch.Completed, Settle: Settlement(turn.Reserve, 10)})
+	}
+	refused := turnRequest("refused", 1000, 60)
+	refused.Service = "service without targets"
+	_, err := c.Admit(t.Context(), refused)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.settlements.len() == 0 }, 20*time.Second, time.Millisecond)
+	assert.EqualValues(t, 50, s.charged(refused))
+}
+
+// TestStopWaitsForSettlements guards against an entry that ends a planned stop before its last
+// settlements are applied.
+func TestStopWaitsForSettlements(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	c.Flush(t.Context())
+	assert.EqualValues(t, 10, s.charged(turn))
+}
+
+// TestEntryThatRefusesReleasesTheReservation guards against a turn that stays charged because its
+// entry refused it for an overloaded leader, after an earlier leader had reserved its tokens.
+func TestEntryThatRefusesReleasesTheReservation(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	c := startClient(t, func() []string { return []string{s.address} })
+	occupy(t, c, 20*time.Second)
+	turn := turnRequest("a", 1000, 60)
+	turn.TimeLeft = 15 * time.Second
+	response := admitAsync(t.Context(), c, turn)
+	s.awaitWaiting(t, 1)
+	next, err := dialLink(s.address, currentForm, "", c.connectionFailed)
+	require.NoError(t, err)
+	next.load.share, next.load.statedAt = 1, time.Now().Add(time.Hour)
+	c.mu.Lock()
+	lost := c.link
+	require.NoError(t, c.introduce(next))
+	c.link = next
+	c.mu.Unlock()
+	lost.close(errClosed)
+	assert.Equal(t, dispatch.Overloaded, (<-response).Refusal)
+	s.awaitCharged(t, turn, 20)
+}
+
+// TestSupersededConnectionDoesNotReserve guards against a message that a suspended leader reads
+// late from a connection that its entry has replaced: the reservation would never be settled.
+func TestSupersededConnectionDoesNotReserve(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	dial := func() *clientLink {
+		l, err := dialLink(s.address, currentForm, "", func(l *clientLink, err error) { l.close(err) })
+		require.NoError(t, err)
+		t.Cleanup(func() { l.close(nil) })
+		require.NoError(t, l.send(kindSettlements, &settlementList{Entry: "e", Introduces: true}))
+		require.Eventually(t, l.acknowledges.Load, 20*time.Second, time.Millisecond)
+		return l
+	}
+	replaced, current := dial(), dial()
+	turn := turnRequest("a", 100, 60)
+	_, err := replaced.confirm(t.Context(), *turn.Reserve)
+	assert.Error(t, err, "the leader sends the entry away")
+	state, err := current.confirm(t.Context(), *turnRequest("b", 100, 10).Reserve)
+	require.NoError(t, err)
+	assert.Equal(t, stateDurable, state)
+	assert.EqualValues(t, 10, s.charged(turn))
+}
+
+// TestSettlementsOfAndForEarlierReleases guards against an upgrade during which settlements are
+// lost: an earlier release knows neither the list of settlements nor the acknowledgement.
+func TestSettlementsOfAndForEarlierReleases(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	p := newLossyPath(t, s.address)
+	reports := 0
+	p.filter(func(k messageKind, _ []byte) bool {
+		if k == kindDone {
+			reports++
+		}
+		// The first report is lost, and a leader of an earlier release ignores the list.
+		return k != kindSettlements && (k != kindDone || reports > 1)
+	})
+	c := startClient(t, p.addresses)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	s.awaitCharged(t, turn, 10)
+	assert.Equal(t, 1, c.settlements.len(), "it is kept until it is old, since no one acknowledges it")
+	s.host.mu.Lock()
+	for l := range s.host.links {
+		assert.False(t, l.acknowledges, "an entry that does not introduce itself gets no acknowledgements")
+		assert.Empty(t, l.acks)
+	}
+	s.host.mu.Unlock()
+}
+
+// TestSettlementMessages guards against an encoding that loses a field or exceeds what a
+// connection carries.
+func TestSettlementMessages(t *testing.T) {
+	sent := settlementList{Entry: "e", Introduces: true, Settles: []ledger.Settle{*Settlement(turnRequest("a", 1, 1).Reserve, 7)}}
+	for _, form := range []linkForm{currentForm, earlierForm} {
+		assert.Equal(t, sent, overForm(t, form, kindSettlements, sent))
+		assert.Equal(t, settledMessage{[]string{"a"}}, overForm(t, form, kindSettled, settledMessage{[]string{"a"}}))
+	}
+	long := ledger.Settle{Program: ledger.Program{Organisation: string(make([]byte, 128)), ID: string(make([]byte, 256))}, Request: string(make([]byte, 256))}
+	for range maxSettlementsPerMessage {
+		sent.Settles = append(sent.Settles, long)
+	}
+	data, err := compact.Marshal(sent)
+	require.NoError(t, err)
+	assert.Less(t, len(data), maxMessageBytes)
+}
--- /dev/null
+++ b/server/ledger/settling.go
@@ -0,0 +1,174 @@
+package ledger
+
+import (
+	"math/rand/v2"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/coord/ledger"
+	"hemlockvale.dev/server/bootclock"
+)
+
+const (
+	// BudgetUnsettled is the refusal of a turn that the program's budget may cover once
+	// outstanding settlements are known.
+	BudgetUnsettled dispatch.Refusal = "budget_unsettled"
+	// maxUnsettledRetryAfter bounds the retry delay of such a turn. Most settlements are
+	// repeated within a second after a change of leader.
+	maxUnsettledRetryAfter = 500 * time.Millisecond
+	// acknowledgementDelay is how long acknowledgements wait for another message to the entry.
+	// It is well below ledger.SettlementRetryDelay.
+	acknowledgementDelay = 50 * time.Millisecond
+)
+
+// settlementCounters count what the leader does with settlements.
+type settlementCounters struct{ applied, known, failed, repeated gometrics.Counter }
+
+func newSettlementCounters(metrics gometrics.Registry) settlementCounters {
+	counter := func(outcome string) gometrics.Counter {
+		return gometrics.GetOrRegisterCounter("ledger_settlements;outcome="+outcome, metrics)
+	}
+	return settlementCounters{applied: counter("applied"), known: counter("known"), failed: counter("failed"), repeated: counter("repeated")}
+}
+
+// recordSettlements applies settlements that an entry repeats. The caller holds h.mu.
+func (h *Host) recordSettlements(l *link, list settlementList) {
+	l.acknowledges = true
+	if list.Introduces {
+		l.entry = list.Entry
+		h.supersede(l)
+		l.send(kindSettled, &settledMessage{})
+		if len(list.Settles) > 0 {
+			h.options.Log.WithFields(logrus.Fields{"event": "settlements_received", "entry": l.entryHost(), "settlements": len(list.Settles)}).Info("an entry has repeated settlements")
+		}
+	}
+	h.settlementCounters.repeated.Inc(int64(len(list.Settles)))
+	for _, s := range list.Settles {
+		// An admission of the request that was not decided must not reserve tokens afterwards.
+		h.inbox.cancel(s.Request)
+		h.settle(l, s)
+	}
+}
+
+// supersede makes the earlier connections of an entry useless. What is read late from one of
+// them could reserve tokens for a request that has been settled. The caller holds h.mu.
+func (h *Host) supersede(l *link) {
+	for other := range h.links {
+		if other != l && other.entry == l.entry && l.entry != "" {
+			other.superseded.Store(true)
+		}
+	}
+}
+
+// settle proposes a settlement and acknowledges it once it is applied. The caller holds h.mu.
+func (h *Host) settle(l *link, s ledger.Settle) {
+	if !l.acknowledges {
+		h.batcher.add(operation{settle: &s})
+		return
+	}
+	if h.canAdmit() && !h.knowsReservation(s.Program, s.Request) {
+		// Another settlement was applied, or nothing was reserved. No other VM leads, and this
+		// one has applied the log of the earlier leaders.
+		h.settlementCounters.known.Inc(1)
+		l.acknowledge(s.Request)
+		return
+	}
+	h.batcher.add(operation{settle: &s, onOutcome: func(_ bool, err error) {
+		if err == nil {
+			h.settlementCounters.applied.Inc(1)
+			l.acknowledge(s.Request)
+			return
+		}
+		// The entry repeats the settlement.
+		h.settlementCounters.failed.Inc(1)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.settling.Failed(bootclock.Now())
+	}})
+}
+
+// knowsReservation reports whether a request has a reservation that is proposed or applied. The
+// caller holds h.mu.
+func (h *Host) knowsReservation(p ledger.Program, request string) bool {
+	return h.reservations[request] != nil || h.options.Machine.reserves(p, request)
+}
+
+// releaseReservation settles with 0 tokens the reservation of a request that will not run, if
+// this leader or an earlier one has made one. The caller holds h.mu.
+func (h *Host) releaseReservation(a *admission) {
+	r := a.request.Reserve
+	if r == nil || !a.link.acknowledges && !h.knowsReservation(r.Program, r.Request) {
+		return
+	}
+	h.settle(a.link, *Settlement(r, 0))
+}
+
+// refuseBudget returns the response to a turn that the program's budget does not cover now. The
+// caller holds h.mu.
+func (h *Host) refuseBudget(r ledger.Reserve) AdmitResponse {
+	left := h.unsettledFor(r)
+	if left == 0 {
+		return AdmitResponse{Refusal: BudgetExhausted}
+	}
+	delay := min(left, maxUnsettledRetryAfter)
+	return AdmitResponse{Refusal: BudgetUnsettled, RetryAfter: delay/2 + rand.N(delay)}
+}
+
+// unsettledFor returns how long outstanding settlements may still make room for a turn; 0 if
+// they can't. The caller holds h.mu.
+func (h *Host) unsettledFor(r ledger.Reserve) time.Duration {
+	left := h.settling.Left(bootclock.Now())
+	if left == 0 || !h.options.Machine.fitsSettled(r) {
+		return 0
+	}
+	return left
+}
+
+// uncovered returns the outcome of a reservation that the budget does not cover now. An entry
+// requests one of unknown outcome again. The caller holds h.mu.
+func (h *Host) uncovered(r ledger.Reserve) reservationState {
+	if h.unsettledFor(r) > 0 {
+		return stateUnknown
+	}
+	return stateExhausted
+}
+
+// acknowledge tells the entry that a settlement is applied, with the next message to it.
+func (l *link) acknowledge(request string) {
+	l.ackMu.Lock()
+	defer l.ackMu.Unlock()
+	if len(l.acks) == 0 {
+		l.ackedAt = bootclock.Now()
+	}
+	l.acks = append(l.acks, request)
+}
+
+// takeAcks returns a message with the acknowledgements that were added before the given time,
+// or nil if there are none.
+func (l *link) takeAcks(before time.Duration) []byte {
+	l.ackMu.Lock()
+	defer l.ackMu.Unlock()
+	if len(l.acks) == 0 || l.ackedAt > before {
+		return nil
+	}
+	message, err := l.form.encode(kindSettled, &settledMessage{Requests: l.acks})
+	if err != nil {
+		l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
+	}
+	l.acks = l.acks[:0]
+	return message
+}
+
+// flushAcks sends the acknowledgements for which no other message has come. The caller holds
+// h.mu.
+func (h *Host) flushAcks() {
+	before := bootclock.Now() - acknowledgementDelay
+	for l := range h.links {
+		if message := l.takeAcks(before); message != nil {
+			l.sendEncoded(message)
+		}
+	}
+}
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -34,6 +34,9 @@
 	// stopMargin is the part of the grace period that is left for ending the process
 	// once callers have been served.
 	stopMargin = 700 * time.Millisecond
+	// settlementMargin is the part of stopMargin in which the ledger may acknowledge the last
+	// settlements. They are applied within a few tens of milliseconds.
+	settlementMargin = 400 * time.Millisecond
 	// answerMargin is the time between the end of the requests in progress and that of their
 	// connections.
 	answerMargin = 300 * time.Millisecond
@@ -220,7 +223,7 @@
 		},
 	})
 	go follower.Run(taskCtx)
-	client := ledger.NewClient(ledger.ClientOptions{Leader: follower.StoreLeader, Stores: follower.Stores, Log: p.Log})
+	client := ledger.NewClient(ledger.ClientOptions{Leader: follower.StoreLeader, Stores: follower.Stores, Entry: p.Settings.VM.RPCAddress, Log: p.Log, Metrics: p.metrics})
 	go client.Run(taskCtx)
 	e := forward.New(forward.Options{
 		View: follower.View, Current: follower.Current, Age: follower.Age, Ledger: client, Histories: history.NewClient(),
@@ -250,7 +253,11 @@
 	p.Log.WithFields(logrus.Fields{"event": "stopping", "active": e.Active()}).Info("planned stop started")
 	time.AfterFunc(planned.Deadline-bootclock.Now(), e.EndRequests)
 	follower.Report(taskCtx)
-	return errors.Join(failure, p.drain(e, callers, relays, planned))
+	failure = errors.Join(failure, p.drain(e, callers, relays, planned))
+	flushCtx, cancel := context.WithTimeout(taskCtx, settlementMargin)
+	defer cancel()
+	client.Flush(flushCtx)
+	return failure
 }
 
 // planStop returns the times of a planned stop that begins now. Callers have a reason to use
