Ledger: answer settlements that were not committed instead of repeating by time

Cause: an entry repeated each settlement after 400 ms without an acknowledgement. Change: the leader answers which settlements were not committed, and the entry repeats these after 400 ms. Over a living connection others are repeated after 5 s only; a new connection still gets all of them at once.

--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -268,12 +268,13 @@
 // leader has acknowledged it.
 func (c *Client) Done(r DoneReport) {
 	if r.Settle != nil {
-		c.settlements.add(*r.Settle, ledger.SettlementRetryDelay)
+		c.settlements.add(*r.Settle, ledger.SettlementTimeout)
 	}
 	select {
 	case c.reports <- queuedReport{r, time.Now()}:
 	default:
 		// The leader drops the grant when it expires.
+		c.settlements.undelivered(r)
 		c.options.Log.WithFields(logrus.Fields{"event": "done_dropped", "request": r.ID}).Warn("done report dropped: the queue is full")
 	}
 }
@@ -308,6 +309,7 @@
 	for {
 		l := c.connect(ctx)
 		if l == nil {
+			c.settlements.undelivered(r.DoneReport)
 			c.options.Log.WithFields(logrus.Fields{"event": "done_lost", "request": r.ID}).Warn("done report was not delivered")
 			return
 		}
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -62,6 +62,10 @@
 	// introduced itself. acknowledges is set once the leader has shown that it sends them.
 	settlements  atomic.Pointer[settlementTracker]
 	acknowledges atomic.Bool
+	// introducedAt is when the entry introduced itself, on the boot clock. repeated is set once
+	// settlements were sent as to a leader of an earlier release; only repeatDue uses it.
+	introducedAt time.Duration
+	repeated     bool
 
 	writeMu sync.Mutex
 
@@ -204,7 +208,7 @@
 		}
 		l.acknowledges.Store(true)
 		if tracker := l.settlements.Load(); tracker != nil {
-			tracker.acknowledge(settled.Requests)
+			tracker.answered(settled)
 		}
 	case kindNotLeader:
 		var n notLeader
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -230,7 +230,7 @@
 	h.logLease()
 	h.updateLoad()
 	h.dropLinks()
-	h.flushAcks()
+	h.flushAnswers()
 	h.inbox.wake()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.grants().Tick(bootclock.Now()))
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -45,11 +45,10 @@
 	// superseded is set once the entry has another connection.
 	superseded atomic.Bool
 
-	ackMu sync.Mutex
-	// acks are the requests whose settlements are applied and not acknowledged yet, the first
-	// since ackedAt.
-	acks    []string
-	ackedAt time.Duration
+	answersMu sync.Mutex
+	// answers are those to settlements that were not sent yet, the first since answeredAt.
+	answers    settledMessage
+	answeredAt time.Duration
 }
 
 // served reports whether this VM is still the leader to which the entry has introduced itself,
@@ -187,7 +186,7 @@
 		select {
 		case message = <-l.queue:
 		default:
-			if _, err := w.Write(l.takeAcks(math.MaxInt64)); err != nil {
+			if _, err := w.Write(l.takeAnswers(math.MaxInt64)); err != nil {
 				return err
 			}
 			return w.Flush()
--- a/server/ledger/settlements.go
+++ b/server/ledger/settlements.go
@@ -35,10 +35,11 @@
 	Settles    []ledger.Settle
 }
 
-// settledMessage acknowledges settlements that are applied in the replicated log.
+// settledMessage answers settlements.
 type settledMessage struct {
-	// Requests are the ids of the requests.
-	Requests []string
+	// Applied are the ids of requests whose settlements are applied in the replicated log, and
+	// Failed those of requests whose settlements were not committed.
+	Applied, Failed []string
 }
 
 // settlementTracker holds the settlements of an entry until the ledger acknowledges them. It
@@ -85,15 +86,28 @@
 	t.unlogged, t.loggedAt = 0, now
 }
 
-// acknowledge removes the settlements of requests.
-func (t *settlementTracker) acknowledge(requests []string) {
+// answered takes an answer of the leader.
+func (t *settlementTracker) answered(m settledMessage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, request := range requests {
+	for _, request := range m.Applied {
 		if t.outstanding.Acknowledge(request) {
 			t.acknowledged.Inc(1)
 		}
 	}
+	for _, request := range m.Failed {
+		t.outstanding.Failed(bootclock.Now(), request)
+	}
+}
+
+// undelivered makes a settlement due whose done report was not sent.
+func (t *settlementTracker) undelivered(r DoneReport) {
+	if r.Settle == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outstanding.Failed(bootclock.Now(), r.Settle.Request)
 }
 
 // all returns all settlements and the age of the oldest, for a new connection.
@@ -133,6 +147,7 @@
 // caller holds c.mu.
 func (c *Client) introduceSettlements(l *clientLink) error {
 	l.settlements.Store(c.settlements)
+	l.introducedAt = bootclock.Now()
 	all, age := c.settlements.all()
 	if len(all) > 0 {
 		c.options.Log.WithFields(logrus.Fields{"event": "settlements_repeated", "leader": l.address, "settlements": len(all), "oldest_ms": age.Milliseconds()}).Info("settlements repeated over a new connection")
@@ -168,6 +183,11 @@
 		return
 	}
 	due := c.settlements.due()
+	if !l.repeated && !l.acknowledges.Load() && bootclock.Now() > l.introducedAt+ledger.SettlementRetryDelay {
+		// The leader is of an earlier release, and has ignored the list.
+		l.repeated = true
+		due, _ = c.settlements.all()
+	}
 	if len(due) == 0 {
 		return
 	}
@@ -195,7 +215,7 @@
 // releases the reservation itself; the settlement is repeated if that does not succeed.
 func (c *Client) trackRelease(l *clientLink, r AdmitRequest, response AdmitResponse) {
 	if r.Reserve != nil && r.Attempt == 0 && response.Refusal != "" && response.Refusal != dispatch.PathLost && l.acknowledges.Load() {
-		c.settlements.add(*Settlement(r.Reserve, 0), ledger.SettlementRetryDelay)
+		c.settlements.add(*Settlement(r.Reserve, 0), ledger.SettlementTimeout)
 	}
 }
 
--- a/server/ledger/settling.go
+++ b/server/ledger/settling.go
@@ -19,9 +19,9 @@
 	// maxUnsettledRetryAfter bounds the retry delay of such a turn. Most settlements are
 	// repeated within a second after a change of leader.
 	maxUnsettledRetryAfter = 500 * time.Millisecond
-	// acknowledgementDelay is how long acknowledgements wait for another message to the entry.
-	// It is well below ledger.SettlementRetryDelay.
-	acknowledgementDelay = 50 * time.Millisecond
+	// answerDelay is how long answers to settlements wait for another message to the entry. It is
+	// well below ledger.SettlementRetryDelay.
+	answerDelay = 50 * time.Millisecond
 )
 
 // settlementCounters count what the leader does with settlements.
@@ -73,17 +73,18 @@
 		// Another settlement was applied, or nothing was reserved. No other VM leads, and this
 		// one has applied the log of the earlier leaders.
 		h.settlementCounters.known.Inc(1)
-		l.acknowledge(s.Request)
+		l.answer(&l.answers.Applied, s.Request)
 		return
 	}
 	h.batcher.add(operation{settle: &s, onOutcome: func(_ bool, err error) {
 		if err == nil {
 			h.settlementCounters.applied.Inc(1)
-			l.acknowledge(s.Request)
+			l.answer(&l.answers.Applied, s.Request)
 			return
 		}
 		// The entry repeats the settlement.
 		h.settlementCounters.failed.Inc(1)
+		l.answer(&l.answers.Failed, s.Request)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.settling.Failed(bootclock.Now())
@@ -136,38 +137,38 @@
 	return stateExhausted
 }
 
-// acknowledge tells the entry that a settlement is applied, with the next message to it.
-func (l *link) acknowledge(request string) {
-	l.ackMu.Lock()
-	defer l.ackMu.Unlock()
-	if len(l.acks) == 0 {
-		l.ackedAt = bootclock.Now()
+// answer tells the entry what became of a settlement, with the next message to it. list is a
+// list of l.answers.
+func (l *link) answer(list *[]string, request string) {
+	l.answersMu.Lock()
+	defer l.answersMu.Unlock()
+	if len(l.answers.Applied)+len(l.answers.Failed) == 0 {
+		l.answeredAt = bootclock.Now()
 	}
-	l.acks = append(l.acks, request)
+	*list = append(*list, request)
 }
 
-// takeAcks returns a message with the acknowledgements that were added before the given time,
-// or nil if there are none.
-func (l *link) takeAcks(before time.Duration) []byte {
-	l.ackMu.Lock()
-	defer l.ackMu.Unlock()
-	if len(l.acks) == 0 || l.ackedAt > before {
+// takeAnswers returns a message with the answers, the first of which was added before the
+// given time, or nil if there are none.
+func (l *link) takeAnswers(before time.Duration) []byte {
+	l.answersMu.Lock()
+	defer l.answersMu.Unlock()
+	if len(l.answers.Applied)+len(l.answers.Failed) == 0 || l.answeredAt > before {
 		return nil
 	}
-	message, err := l.form.encode(kindSettled, &settledMessage{Requests: l.acks})
+	message, err := l.form.encode(kindSettled, &l.answers)
 	if err != nil {
 		l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
 	}
-	l.acks = l.acks[:0]
+	l.answers.Applied, l.answers.Failed = l.answers.Applied[:0], l.answers.Failed[:0]
 	return message
 }
 
-// flushAcks sends the acknowledgements for which no other message has come. The caller holds
-// h.mu.
-func (h *Host) flushAcks() {
-	before := bootclock.Now() - acknowledgementDelay
+// flushAnswers sends the answers for which no other message has come. The caller holds h.mu.
+func (h *Host) flushAnswers() {
+	before := bootclock.Now() - answerDelay
 	for l := range h.links {
-		if message := l.takeAcks(before); message != nil {
+		if message := l.takeAnswers(before); message != nil {
 			l.sendEncoded(message)
 		}
 	}
