--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -76,6 +76,10 @@
 	// kindCold reports targets that have stated that they are cold, and repeats them to a new
 	// leader. Earlier releases ignore it.
 	kindCold
+	// kindSettlements introduces an entry that repeats its settlements until they are
+	// acknowledged, and repeats them; kindSettled acknowledges them. Earlier releases ignore both.
+	kindSettlements
+	kindSettled
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
