Dispatch: new programs start by the fair share of scarce capacity

Cause: nothing divides the capacity of the targets when the sum of the allowed rates exceeds it. One organisation that starts 5.7 times its usual number of programs makes the programs of all others late, and the programs that it started keep the queue long for seconds.

Change: the dispatcher learns how many slots a service fills while requests wait, and how long requests occupy a slot. Every 100 ms it sums up the work that the started programs are expected to cause over five horizons, by organisation. A program that does not fit, and whose organisation would be above the max-min fair level, is refused as overloaded when it starts, with its place in the line of its organisation as the retry delay. Each kind of program has a reserved part of its organisation's level. Nothing is refused while the capacity is unknown or not used, or with a single organisation. Work of programs is attributed to the services that their kind uses.

--- a/coord/dispatch/bench_test.go
+++ b/coord/dispatch/bench_test.go
@@ -6,6 +6,31 @@
 	"time"
 )
 
+// BenchmarkUpdateShares measures the update of the expected work of 100 organisations with 3,000
+// started programs and 500 waiting requests, which happens every shareInterval.
+func BenchmarkUpdateShares(b *testing.B) {
+	d := New(0, 1)
+	d.SetTargets(0, targets(36, 6))
+	for i := range 3000 {
+		r := request(fmt.Sprint(i))
+		r.Organisation, r.Program, r.ProgramTimeLeft, r.StartsProgram = fmt.Sprint("o", i%100), r.ID, time.Minute, true
+		r.TimeLeft, r.RoutePriority = time.Minute, i%2
+		if o := d.Admit(0, r); o.Target != "" && i < 2400 {
+			d.Done(0, r.ID, o.Target, Completed, 1)
+		}
+	}
+	now := 200 * time.Millisecond
+	d.Tick(now)
+	if !d.shares.services["s"].scarce {
+		b.Fatal("capacity is not scarce")
+	}
+	b.ResetTimer()
+	for range b.N {
+		d.shares.updatedAt = now - shareInterval
+		d.updateShares(now)
+	}
+}
+
 // BenchmarkAdmitAndDone measures one admission and one done report while other requests wait.
 func BenchmarkAdmitAndDone(b *testing.B) {
 	for _, waiting := range []int{0, 500, 4000} {
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -43,7 +43,9 @@
 	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
 	programs *programs
-	medians  map[string]*cachedMedian
+	// shares divides scarce capacity among organisations.
+	shares  *fairShares
+	medians map[string]*cachedMedian
 	// waiting holds the requests that have no outcome yet, by id.
 	waiting map[string]*waitingRequest
 	// awaitingToken holds the times at which requests get the rate limit token of their
@@ -86,6 +88,7 @@
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
+		shares:           newFairShares(now),
 		medians:          make(map[string]*cachedMedian),
 		waiting:          make(map[string]*waitingRequest),
 	}
@@ -119,6 +122,7 @@
 // Admit grants, queues or refuses a request. If the request has to wait, a later call
 // of Done, Tick or SetTargets returns its outcome.
 func (d *Dispatcher) Admit(now time.Duration, r Request) Outcome {
+	d.advanceShares(now, r.Service)
 	if refusal := d.resolveOrigin(&r); refusal != "" {
 		d.discard(r.ID)
 		return Outcome{ID: r.ID, Refusal: refusal}
@@ -143,6 +147,10 @@
 		// Nobody seems to reach the targets, so the sending VM may as well try.
 		r.Unreachable = nil
 	}
+	if wait, refusal := d.refuseForShare(now, &r); refusal != nil {
+		d.refund(r.Organisation)
+		return Outcome{ID: r.ID, Refusal: Overloaded, RetryAfter: d.withJitter(wait), FairShare: refusal}
+	}
 	w := newWaitingRequest(now, r, d.programs.record(now, &r))
 	if tokenAt > now {
 		w.due = d.awaitingToken.add(r.ID, tokenAt)
@@ -228,6 +236,7 @@
 	delete(d.grants, id)
 	d.grantExpiries.remove(g.expiry)
 	g.target.outstanding--
+	d.shares.services[g.target.Service].running--
 	g.target.tokens -= g.tokens
 }
 
@@ -237,6 +246,7 @@
 func (d *Dispatcher) Done(now time.Duration, id, targetID string, result Result, units int64) []Outcome {
 	g := d.grants[id]
 	if g != nil && g.target.ID == targetID {
+		d.advanceShares(now, g.target.Service)
 		d.release(id, g)
 		switch result {
 		case Completed, Failed, Broken:
@@ -245,6 +255,7 @@
 		default:
 			d.refund(g.organisation)
 		}
+		d.recordWork(now, g, result)
 	}
 	t := d.targets[targetID]
 	if t == nil {
@@ -285,6 +296,7 @@
 		q.add(w)
 	}
 	d.programs.sweep(now)
+	d.updateShares(now)
 	d.origins.sweep(now)
 	return d.grantAllWaiting(now)
 }
--- a/coord/dispatch/forecast.go
+++ b/coord/dispatch/forecast.go
@@ -41,18 +41,24 @@
 	duration time.Duration
 	// ended is the number of programs in the averages.
 	ended int
+	// activeDuration is the duration for each turn without the waits for targets.
+	activeDuration time.Duration
+	// byService is the number of requests by service, and sentTotal their sum.
+	byService map[string]float64
+	sentTotal float64
 }
 
 func newKindStats(kind programKind) *kindStats {
-	return &kindStats{programKind: kind, requests: initialRequests, duration: initialDuration}
+	return &kindStats{programKind: kind, requests: initialRequests, duration: initialDuration, activeDuration: initialDuration}
 }
 
 // add records a program that has ended.
-func (k *kindStats) add(turns, requests float64, duration time.Duration) {
+func (k *kindStats) add(turns, requests float64, duration, waited time.Duration) {
 	k.ended++
 	weight := max(minKindWeight, 1/float64(k.ended+1))
 	k.requests += weight * (requests/turns - k.requests)
 	k.duration += time.Duration(weight * (float64(duration)/turns - float64(k.duration)))
+	k.activeDuration += time.Duration(weight * (float64(max(duration-waited, 0))/turns - float64(k.activeDuration)))
 }
 
 // requestsWithin returns the requests that a program sends within a time, if it still
@@ -72,11 +78,20 @@
 
 // remaining returns the number of requests that the program is expected to send.
 func (p *program) remaining(now time.Duration) float64 {
+	if p.kind == nil {
+		return 0
+	}
+	return p.remainingOf(now, p.kind.requests)
+}
+
+// remainingOf returns the number of requests that the program is expected to send if it sends
+// the given number for each turn.
+func (p *program) remainingOf(now time.Duration, perTurn float64) float64 {
 	idle := now - p.lastRequest
-	if p.kind == nil || idle >= activeIdleTime {
+	if idle >= activeIdleTime {
 		return 0
 	}
-	left := max(p.kind.requests*p.turns-float64(p.requests), 1)
+	left := max(perTurn*p.turns-float64(p.requests), 1)
 	return left * (1 - float64(idle)/float64(activeIdleTime))
 }
 
@@ -86,7 +101,7 @@
 		return
 	}
 	p.learned = true
-	p.kind.add(p.turns, float64(p.requests), p.lastRequest-p.startedAt)
+	p.kind.add(p.turns, float64(p.requests), p.lastRequest-p.startedAt, p.waited)
 }
 
 // forecast returns how long a program's first request should wait until the organisation's
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -18,6 +18,7 @@
 	}
 	t := d.targets[decision.Target]
 	t.outstanding++
+	d.shares.service(now, t.Service).running++
 	t.tokens += need
 	if t.rate != nil {
 		t.rate.bucket.tokens--
--- a/coord/dispatch/program.go
+++ b/coord/dispatch/program.go
@@ -30,6 +30,8 @@
 	// seen the program's first request. startedAt is the time of that request.
 	kind      *kindStats
 	startedAt time.Duration
+	// seenAs is the service and route priority of the first request that was seen.
+	seenAs programKind
 	// turns is the number of turns that the program's budget allows. learned is set once
 	// the program is part of the averages of its kind.
 	turns   float64
@@ -75,7 +77,7 @@
 	p := ps.byKey[key]
 	if p == nil {
 		left := max(r.ProgramTimeLeft, 0)
-		p = &program{deadline: now + left, total: left, priority: r.RoutePriority}
+		p = &program{deadline: now + left, total: left, priority: r.RoutePriority, seenAs: programKind{r.Service, r.RoutePriority}}
 		if r.StartsProgram {
 			p.overdueAt = p.deadline + p.total
 			p.kind, p.startedAt, p.turns = ps.kindOf(r), now, turnsOf(r)
@@ -84,6 +86,9 @@
 	}
 	p.priority = min(p.priority, r.RoutePriority)
 	p.requests++
+	if p.kind != nil {
+		p.kind.sent(r.Service)
+	}
 	p.lastRequest = now
 	return p
 }
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -180,6 +180,9 @@
 	Cached int64
 	// Reason explains the choice of the target, for logs.
 	Reason string
+	// FairShare is set if a new program is refused because its organisation is above its
+	// share of a scarce capacity.
+	FairShare *FairShare
 }
 
 // Waiting reports whether the request is queued.
