Ledger: refusals for the fair share are explained and counted

Cause: a program that is refused for the share of its organisation looks like any other overloaded one.

Messages are unchanged.

--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -27,6 +27,8 @@
 	// response is nil while the request is queued; it was sent at finishedAt.
 	response   *AdmitResponse
 	finishedAt time.Duration
+	// fairShare explains a refusal because of the organisation's share; otherwise nil.
+	fairShare *dispatch.FairShare
 	// holders are the storages that hold the record of the previous turn.
 	holders []string
 }
@@ -66,6 +68,7 @@
 		h.watchReservation(r.Reserve, a.link)
 	}
 	outcome := h.dispatcher.Admit(bootclock.Now(), r.Request)
+	a.fairShare = outcome.FairShare
 	if !outcome.Waiting() {
 		h.finish(a, h.response(outcome))
 	}
@@ -83,6 +86,9 @@
 	a.link.send(kindAdmitResponse, &r)
 	a.link.reportLoad()
 	h.countOutcome(r)
+	if a.fairShare != nil {
+		h.shareCounters.count(a.fairShare)
+	}
 	h.options.Log.WithFields(logrus.Fields{"event": "admission", "request": a.request.ID, "inputs": h.describe(a, &r)}).Info("admission decided")
 }
 
@@ -99,6 +105,9 @@
 	} else {
 		pairs = pairs.Text("refusal", string(r.Refusal)).Int("retry_after_ms", r.RetryAfter.Milliseconds())
 	}
+	if a.fairShare != nil {
+		pairs = pairs.Text("fair_share", fairShareText(a.fairShare))
+	}
 	if r.Refusal == Quarantined {
 		pairs = pairs.Text("fingerprint", fingerprintText(a.request.Fingerprint))
 	}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -101,6 +101,7 @@
 	// that they waited for a target.
 	outcomeCounters map[string]gometrics.Counter
 	waitedTimer     gometrics.Timer
+	shareCounters   shareCounters
 	// overload controls refusedShare, the share of programs whose requests entries refuse.
 	overload     overload.Controller
 	refusedShare float64
@@ -114,7 +115,8 @@
 func New(options Options) *Host {
 	h := &Host{
 		options: options, batcher: newBatcher(options.Quorum, options.Log), inbox: newInbox(), checkSlots: make(chan struct{}, maxChecks),
-		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics), links: make(map[*link]struct{}),
+		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics),
+		shareCounters: newShareCounters(options.Metrics), links: make(map[*link]struct{}),
 	}
 	h.reset()
 	return h
