--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -112,7 +112,8 @@
 	// settlementCounters count settlements by what became of them.
 	settlementCounters settlementCounters
 	// settling tells whether entries may have settlements that are not known here.
-	settling ledger.Settling
+	settling      ledger.Settling
+	shareCounters shareCounters
 	// overload controls refusedShare, the share of programs whose requests entries refuse.
 	overload     overload.Controller
 	refusedShare float64
@@ -127,7 +128,7 @@
 	h := &Host{
 		options: options, batcher: newBatcher(options.Quorum, options.Log), inbox: newInbox(), checkSlots: make(chan struct{}, maxChecks),
 		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics), links: make(map[*link]struct{}),
-		settlementCounters: newSettlementCounters(options.Metrics),
+		settlementCounters: newSettlementCounters(options.Metrics), shareCounters: newShareCounters(options.Metrics),
 	}
 	h.reset()
 	return h
