--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -47,7 +47,10 @@
 	queues  map[string]*queue // by service
 	// programs holds the programs that have started.
 	programs *programs
-	medians  map[string]*cachedMedian
+	// shares divides scarce capacity among organisations.
+	shares      *fairShares
+	connections connections
+	medians     map[string]*cachedMedian
 	// waiting holds the requests that have no outcome yet, by id.
 	waiting map[string]*waitingRequest
 	// awaitingToken holds the times at which requests get the rate limit token of their
@@ -67,6 +70,7 @@
 type grant struct {
 	target       *target
 	organisation string
+	entry        string
 	tokens       int64
 	grantedAt    time.Duration
 	expiry       *deadline
@@ -79,7 +83,8 @@
 	// Independent decision makers need jitter so that those with equal views do not
 	// all choose the same target. One dispatcher sees all requests, so a little
 	// jitter is enough.
-	policy.JitterTokens = 20
+	// It is less than the cost of a new connection.
+	policy.JitterTokens = 5
 	return &Dispatcher{
 		startedAt:        now,
 		policy:           policy,
@@ -93,6 +98,8 @@
 		grants:           make(map[string]*grant),
 		queues:           make(map[string]*queue),
 		programs:         newPrograms(),
+		connections:      newConnections(now),
+		shares:           newFairShares(now),
 		medians:          make(map[string]*cachedMedian),
 		waiting:          make(map[string]*waitingRequest),
 	}
@@ -134,12 +141,14 @@
 		d.noteColdEnd(t)
 	}
 	d.attachRates(now)
+	d.connections.setTargets(now, d.targets, d.targetsByService)
 	return d.grantAllWaiting(now)
 }
 
 // Admit grants, queues or refuses a request. If the request has to wait, a later call
 // of Done, Tick or SetTargets returns its outcome.
 func (d *Dispatcher) Admit(now time.Duration, r Request) Outcome {
+	d.advanceShares(now, r.Service)
 	if refusal := d.resolveOrigin(&r); refusal != "" {
 		d.discard(r.ID)
 		return Outcome{ID: r.ID, Refusal: refusal}
@@ -164,6 +173,10 @@
 		// Nobody seems to reach the targets, so the sending VM may as well try.
 		r.Unreachable = nil
 	}
+	if wait, refusal := d.refuseForShare(now, &r); refusal != nil {
+		d.refund(r.Organisation)
+		return Outcome{ID: r.ID, Refusal: Overloaded, RetryAfter: d.withJitter(wait), FairShare: refusal}
+	}
 	w := newWaitingRequest(now, r, d.programs.record(now, &r))
 	if tokenAt > now {
 		w.due = d.awaitingToken.add(r.ID, tokenAt)
@@ -249,6 +262,7 @@
 	delete(d.grants, id)
 	d.grantExpiries.remove(g.expiry)
 	g.target.outstanding--
+	d.shares.services[g.target.Service].running--
 	g.target.tokens -= g.tokens
 }
 
@@ -258,7 +272,9 @@
 func (d *Dispatcher) Done(now time.Duration, id, targetID string, result Result, units int64) []Outcome {
 	g := d.grants[id]
 	if g != nil && g.target.ID == targetID {
+		d.advanceShares(now, g.target.Service)
 		d.release(id, g)
+		d.connections.ended(now, g.entry, g.target, result)
 		switch result {
 		case Completed, Failed, Broken:
 			g.target.stats.record(now, now-g.grantedAt, units, result != Completed)
@@ -266,6 +282,7 @@
 		default:
 			d.refund(g.organisation)
 		}
+		d.recordWork(now, g, result)
 	}
 	t := d.targets[targetID]
 	if t == nil {
@@ -307,7 +324,9 @@
 	}
 	d.endColdPeriods(now)
 	d.programs.sweep(now)
+	d.updateShares(now)
 	d.origins.sweep(now)
+	d.connections.sweep(now)
 	return d.grantAllWaiting(now)
 }
 
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -18,6 +18,7 @@
 	}
 	t := d.targets[decision.Target]
 	t.outstanding++
+	d.shares.service(now, t.Service).running++
 	t.tokens += need
 	if t.rate != nil {
 		t.rate.bucket.tokens--
@@ -26,6 +27,7 @@
 		t.cold.bucket.tokens--
 		decision.Reason = ReasonCold
 	}
+	d.connections.granted(now, r.Entry, t)
 	if t.cache != nil {
 		t.cache.recordPrompt(r.Parts)
 	}
@@ -33,7 +35,7 @@
 		w.program.addWait(now, now-w.queuedAt)
 	}
 	d.recordOrigin(now, w, t)
-	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
+	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, entry: r.Entry, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
 	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
 }
 
@@ -49,6 +51,7 @@
 	}
 	best := unusable
 	median := d.median(now, r.Service)
+	preference := d.connections.preference(now, r, d.targetsByService[r.Service])
 	d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
 		if !r.allows(t) || !r.reaches(t) || !r.mayContinue(t) {
@@ -67,6 +70,7 @@
 		}
 		c := t.candidate(r)
 		c.DistanceTokens += t.stats.penalty(now, median)
+		preference.apply(r, t, &c)
 		if t.isCold(now) {
 			d.coldCandidates = append(d.coldCandidates, c)
 		} else {
--- a/coord/placement/place.go
+++ b/coord/placement/place.go
@@ -8,10 +8,13 @@
 
 const (
 	// maxSampled is the maximum number of candidates that one decision evaluates.
-	maxSampled = 32
+	maxSampled = 40
 	// maxSampledCached is the maximum number of sampled candidates that are
 	// included because they hold the program's prefix.
 	maxSampledCached = 8
+	// maxSampledConnected is the maximum number of sampled candidates that are included
+	// because a connection to them is open.
+	maxSampledConnected = 8
 	// defaultMaxBatch is the batch size, in requests, of targets that report none.
 	defaultMaxBatch = 16
 	// defaultTokensPerSecond is the prefill speed of targets that report none.
@@ -63,7 +66,8 @@
 
 // sample writes the indices of the candidates to evaluate to sampled and returns
 // their number. It selects all candidates if there are few; otherwise it selects
-// candidates that hold the program's prefix and a random sample of the others.
+// candidates that hold the program's prefix, connected ones, and a random sample of all
+// that do not hold the prefix.
 func sample(p *Policy, r *Request, cs []Candidate, rng *rand.PCG, sampled *[maxSampled]int32) int {
 	if len(cs) <= min(p.SampleSize, maxSampled) {
 		for i := range cs {
@@ -78,7 +82,8 @@
 			n++
 		}
 	}
-	for range min(p.SampleSize, maxSampled-maxSampledCached) {
+	n += sampleConnected(cs, rng, sampled[n:n+maxSampledConnected])
+	for range min(p.SampleSize, maxSampled-maxSampledCached-maxSampledConnected) {
 		i := int32(rng.Uint64() % uint64(len(cs)))
 		if cachedTokens(r, &cs[i]) == 0 {
 			sampled[n] = i
@@ -88,6 +93,34 @@
 	return n
 }
 
+// sampleConnected fills sampled with connected candidates, beginning at a random one, and
+// returns their number.
+func sampleConnected(cs []Candidate, rng *rand.PCG, sampled []int32) int {
+	first := 0
+	for first < len(cs) && !cs[first].Connected {
+		first++
+	}
+	if first == len(cs) {
+		return 0
+	}
+	n := 0
+	start := int(rng.Uint64() % uint64(len(cs)))
+	for k := range cs {
+		i := start + k
+		if i >= len(cs) {
+			i -= len(cs)
+		}
+		if cs[i].Connected {
+			sampled[n] = int32(i)
+			n++
+			if n == len(sampled) {
+				break
+			}
+		}
+	}
+	return n
+}
+
 // cachedTokens returns the number of prompt tokens that the target has cached.
 // The program's record of its last call is used until the target has published
 // cache events after that call; from then on a prefix that the events do not show
@@ -200,6 +233,8 @@
 		return ReasonSuspect
 	case cachedTokens(r, c) > 0:
 		return ReasonCached
+	case c.Connected:
+		return ReasonConnected
 	default:
 		return ReasonLoad
 	}
--- a/server/forward/continue_test.go
+++ b/server/forward/continue_test.go
@@ -150,7 +150,7 @@
 // which was opened after it began, perhaps to a later process under the same id, as if that were
 // certainly the same one.
 func TestNewerConnectionsProveNothing(t *testing.T) {
-	pool := newConnPool(nil)
+	pool := newConnPool(nil, func(string) int { return 4 })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -174,7 +174,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
-	pool := newConnPool(nil)
+	pool := newConnPool(nil, func(string) int { return 4 })
 	c, err := pool.dial(t.Context(), l.Addr().String())
 	require.NoError(t, err)
 	pool.put("t", c, 0)
--- a/server/forward/mayreceive_test.go
+++ b/server/forward/mayreceive_test.go
@@ -137,7 +137,7 @@
 // finishes its requests.
 func TestIdleConnectionOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
 	former, later := startFakeTarget(t), startFakeTarget(t)
-	pool := newConnPool(nil)
+	pool := newConnPool(nil, func(string) int { return 4 })
 	c, err := pool.get(t.Context(), "t", former.address, "r")
 	require.NoError(t, err)
 	pool.put("t", c, 0)
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -27,6 +27,8 @@
 	// response is nil while the request is queued; it was sent at finishedAt.
 	response   *AdmitResponse
 	finishedAt time.Duration
+	// fairShare explains a refusal because of the organisation's share; otherwise nil.
+	fairShare *dispatch.FairShare
 	// holders are the storages that hold the record of the previous turn.
 	holders []string
 }
@@ -59,13 +61,14 @@
 		r.ContinuesProgram = !r.StartsProgram
 		r.BudgetTurns = float64(r.Reserve.Budget) / float64(max(r.Reserve.Tokens, 1))
 		if h.reserve(*r.Reserve, a.link) == nil {
-			h.finish(a, AdmitResponse{Refusal: BudgetExhausted})
+			h.finish(a, h.refuseBudget(*r.Reserve))
 			return
 		}
 		// Another entry may have made the reservation before it passed the request on.
 		h.watchReservation(r.Reserve, a.link)
 	}
 	outcome := h.dispatcher.Admit(bootclock.Now(), r.Request)
+	a.fairShare = outcome.FairShare
 	if !outcome.Waiting() {
 		h.finish(a, h.response(outcome))
 	}
@@ -83,6 +86,9 @@
 	a.link.sendResponse(&r)
 	a.link.reportLoad()
 	h.countOutcome(r)
+	if a.fairShare != nil {
+		h.shareCounters.count(a.fairShare)
+	}
 	h.options.Log.WithFields(logrus.Fields{"event": "admission", "request": a.request.ID, "inputs": h.describe(a, &r)}).Info("admission decided")
 }
 
@@ -99,6 +105,9 @@
 	} else {
 		pairs = pairs.Text("refusal", string(r.Refusal)).Int("retry_after_ms", r.RetryAfter.Milliseconds())
 	}
+	if a.fairShare != nil {
+		pairs = pairs.Text("fair_share", fairShareText(a.fairShare))
+	}
 	if r.Refusal == Quarantined {
 		pairs = pairs.Text("fingerprint", fingerprintText(a.request.Fingerprint))
 	}
@@ -168,11 +177,8 @@
 }
 
 // done ends a request that ran at a target, or one whose caller disconnected while it
-// was queued. The caller holds h.mu.
+// was queued. It does not settle the request. The caller holds h.mu.
 func (h *Host) done(entry string, r DoneReport) {
-	if r.Settle != nil {
-		h.batcher.add(operation{settle: r.Settle})
-	}
 	if r.Target != "" {
 		switch r.Result {
 		case dispatch.Completed, dispatch.Failed:
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockvale.dev/coord/history"
@@ -57,6 +58,14 @@
 
 	// load is the load of the leader.
 	load leaderLoad
+	// settlements receives the acknowledgements of the leader; nil before the entry has
+	// introduced itself. acknowledges is set once the leader has shown that it sends them.
+	settlements  atomic.Pointer[settlementTracker]
+	acknowledges atomic.Bool
+	// introducedAt is when the entry introduced itself, on the boot clock. repeated is set once
+	// settlements were sent as to a leader of an earlier release; only repeatDue uses it.
+	introducedAt time.Duration
+	repeated     bool
 
 	writeMu sync.Mutex
 
@@ -222,6 +231,15 @@
 			return err
 		}
 		l.catalogRevision = stated.Revision
+	case kindSettled:
+		var settled settledMessage
+		if err := compact.Unmarshal(payload, &settled); err != nil {
+			return err
+		}
+		l.acknowledges.Store(true)
+		if tracker := l.settlements.Load(); tracker != nil {
+			tracker.answered(settled)
+		}
 	case kindNotLeader:
 		var n notLeader
 		if err := compact.Unmarshal(payload, &n); err != nil {
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -109,6 +109,11 @@
 	// that they waited for a target.
 	outcomeCounters map[string]gometrics.Counter
 	waitedTimer     gometrics.Timer
+	// settlementCounters count settlements by what became of them.
+	settlementCounters settlementCounters
+	// settling tells whether entries may have settlements that are not known here.
+	settling      ledger.Settling
+	shareCounters shareCounters
 	// overload controls refusedShare, the share of programs whose requests entries refuse.
 	overload     overload.Controller
 	refusedShare float64
@@ -123,6 +128,7 @@
 	h := &Host{
 		options: options, batcher: newBatcher(options.Quorum, options.Log), inbox: newInbox(), checkSlots: make(chan struct{}, maxChecks),
 		outcomeCounters: make(map[string]gometrics.Counter), waitedTimer: gometrics.GetOrRegisterTimer("ledger_waited", options.Metrics), links: make(map[*link]struct{}),
+		settlementCounters: newSettlementCounters(options.Metrics), shareCounters: newShareCounters(options.Metrics),
 	}
 	h.reset()
 	return h
@@ -166,6 +172,7 @@
 	h.detector = quarantine.NewDetector(bootclock.Now(), time.Now().UnixMilli())
 	h.reset()
 	h.overload, h.refusedShare = overload.Controller{}, 0
+	h.settling.Elected(bootclock.Now())
 	current := &leadership{since: since}
 	current.lease.extend(leaseExpiry)
 	h.leadership.Store(current)
@@ -193,6 +200,9 @@
 		}
 		if view.Table != nil {
 			s := view.Table.Service(t.Service)
+			if s != nil {
+				target.MaxConnections = s.MaxConnections
+			}
 			if s != nil && s.Engine != nil {
 				target.KVCapacity = s.Engine.KVCapacity
 			}
@@ -242,6 +252,7 @@
 	h.logLease()
 	h.updateLoad()
 	h.dropLinks()
+	h.flushAnswers()
 	h.inbox.wake()
 	if h.dispatcher != nil {
 		h.deliverOutcomes(h.grants().Tick(bootclock.Now()))
--- a/server/logging/async.go
+++ b/server/logging/async.go
@@ -14,12 +14,13 @@
 	out     io.Writer
 	queue   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed by Close, and done at the end of run.
+	closing, done chan struct{}
 }
 
 // NewAsyncWriter returns a writer that writes lines to out. Close stops it.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	a := &AsyncWriter{out: out, queue: make(chan []byte, asyncQueueLines), done: make(chan struct{})}
+	a := &AsyncWriter{out: out, queue: make(chan []byte, asyncQueueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -39,33 +40,46 @@
 // Dropped returns the number of dropped lines.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the goroutine. Lines that are written later are
+// lost: goroutines of a process that ends may still log. Close must be called once.
 func (a *AsyncWriter) Close() {
-	close(a.queue)
+	close(a.closing)
 	<-a.done
 }
 
-// run writes the queued lines. It combines lines that are already queued into one write.
+// run writes the queued lines until Close is called and the queue is empty.
 func (a *AsyncWriter) run() {
 	defer close(a.done)
-	var buffer []byte
-	for line := range a.queue {
-		buffer = append(buffer[:0], line...)
-		for more := true; more && len(buffer) < maxWriteBytes; {
+	for {
+		select {
+		case line := <-a.queue:
+			a.write(line)
+		case <-a.closing:
 			select {
-			case next, open := <-a.queue:
-				more = open
-				buffer = append(buffer, next...)
+			case line := <-a.queue:
+				a.write(line)
 			default:
-				more = false
+				return
 			}
 		}
-		// A failure to write the log cannot be logged.
-		_, _ = a.out.Write(buffer)
 	}
 }
 
-// maxWriteBytes is the size in bytes at which run stops adding lines to a write. The last
+// write writes a line, and with it lines that are already queued.
+func (a *AsyncWriter) write(line []byte) {
+	buffer := line
+	for more := true; more && len(buffer) < maxWriteBytes; {
+		select {
+		case next := <-a.queue:
+			buffer = append(buffer, next...)
+		default:
+			more = false
+		}
+	}
+	// A failure to write the log cannot be logged.
+	_, _ = a.out.Write(buffer)
+}
+
+// maxWriteBytes is the size in bytes at which write stops adding lines to a write. The last
 // line may exceed it.
 const maxWriteBytes = 32 << 10
--- a/server/registry/follower.go
+++ b/server/registry/follower.go
@@ -62,6 +62,8 @@
 	// lastResponse is the time of the last response from any control VM, in nanoseconds of the
 	// boot clock, which does not change with the time of day; 0 if there was none.
 	lastResponse atomic.Int64
+	// entryCount is the number of entries that control stated last; 0 if it stated none.
+	entryCount atomic.Int64
 
 	mu sync.Mutex
 	// watches holds the functions that end the watches, by control VM address.
@@ -89,6 +91,9 @@
 // View returns the latest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// EntryCount returns the number of entries that reported recently to control; 0 if unknown.
+func (f *Follower) EntryCount() int { return int(f.entryCount.Load()) }
+
 // Age returns the time since the last response from any control VM.
 func (f *Follower) Age() time.Duration {
 	return bootclock.Now() - time.Duration(f.lastResponse.Load())
@@ -254,6 +259,9 @@
 	}
 	state.reported = self
 	f.lastResponse.Store(int64(bootclock.Now()))
+	if response.Entries > 0 {
+		f.entryCount.Store(int64(response.Entries))
+	}
 	if response.Members != nil {
 		state.membersDigest = response.Members.digest()
 		f.setMembers(address, *response.Members)
--- a/server/registry/messages.go
+++ b/server/registry/messages.go
@@ -111,6 +111,8 @@
 	Members *Members `json:"m,omitempty"`
 	// Evacuations is the revision of the evacuated data centres that the control VM holds.
 	Evacuations uint64 `json:"e,omitempty"`
+	// Entries is the number of entries that reported recently; 0 if not stated.
+	Entries int `json:"n,omitempty"`
 }
 
 // Members lists the control and store VMs that one control VM knows.
