Dispatch: waiting requests get the engine that has their prompt

Cause: while requests wait, one engine at a time has a free slot, and the first request of the queue gets it, although another one has the earlier turns of its program cached.

Change: the next 31 requests, at most 100 ms behind in rank, are compared; one of which the engine has more cached may overtake. The first request is overtaken for 100 ms at most.

--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -11,11 +11,17 @@
 func (d *Dispatcher) place(now time.Duration, w *waitingRequest) (Outcome, bool) {
 	r := &w.request
 	prompt := r.promptTokens()
-	need := prompt + r.OutputTokens
-	decision := d.choose(now, r, prompt, need)
+	decision := d.choose(now, r, prompt, prompt+r.OutputTokens)
 	if decision.Action != placement.Dispatch {
 		return Outcome{}, false
 	}
+	return d.grantAt(now, w, decision), true
+}
+
+// grantAt grants the request at the target that a decision names.
+func (d *Dispatcher) grantAt(now time.Duration, w *waitingRequest, decision placement.Decision) Outcome {
+	r := &w.request
+	need := r.promptTokens() + r.OutputTokens
 	t := d.targets[decision.Target]
 	t.outstanding++
 	d.shares.service(now, t.Service).running++
@@ -36,7 +42,7 @@
 	}
 	d.recordOrigin(now, w, t)
 	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, entry: r.Entry, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
-	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
+	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}
 }
 
 // choose makes the placement decision among the targets of the request's best class
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -49,6 +49,9 @@
 	status   deadlineStatus
 	queuedAt time.Duration
 	expires  time.Duration
+	// firstSince is when the request was first in its queue while a target had capacity; 0
+	// before.
+	firstSince time.Duration
 	// rank orders the queue; the lowest rank is granted first. Requests of equal rank are
 	// ordered by number.
 	rank   time.Duration
@@ -267,10 +270,10 @@
 			out = append(out, d.dropWithoutTarget(now, w, reason))
 			continue
 		}
-		o, ok := d.place(now, w)
+		granted, o, ok := d.placeFirst(now, q, at)
 		switch {
 		case ok:
-			d.forget(w)
+			d.forget(granted)
 			out = append(out, o)
 		case pinned:
 			// It may wait for a target that the others do not need.
