Continued streams: an older connection leads to the address of the broken stream

An idle connection to an earlier incarnation at another address was taken for one to the process that generated the stream. An earlier incarnation that was suspended and runs again could continue a stream of its successor, perhaps with another software version.

The new test fails without the comparison of the addresses and passes with it.

--- a/server/forward/continue.go
+++ b/server/forward/continue.go
@@ -62,7 +62,7 @@
 	default:
 		return false
 	}
-	x.older = x.entry.pool.takeOlder(grant.Target, x.streamSentAt, x.call.ID)
+	x.older = x.entry.pool.takeOlder(grant.Target, grant.Address, x.streamSentAt, x.call.ID)
 	return true
 }
 
--- a/server/forward/continue_test.go
+++ b/server/forward/continue_test.go
@@ -158,14 +158,30 @@
 	c, err := pool.dial(t.Context(), l.Addr().String())
 	require.NoError(t, err)
 	pool.put("t", c, 0)
-	assert.Nil(t, pool.takeOlder("t", began, "r"))
-	assert.Same(t, c, pool.takeOlder("t", bootclock.Now(), "r"))
+	assert.Nil(t, pool.takeOlder("t", l.Addr().String(), began, "r"))
+	assert.Same(t, c, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"))
 	pool.restore("t", c)
 	peer, err := l.Accept()
 	require.NoError(t, err)
 	peer.Close()
 	require.Eventually(t, func() bool { return !c.isIdle() }, time.Second, time.Millisecond)
-	assert.Nil(t, pool.takeOlder("t", bootclock.Now(), "r"), "the target has closed it")
+	assert.Nil(t, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"), "the target has closed it")
+}
+
+// TestOlderConnectionsLeadToTheSameAddress guards against a stream that is continued by an earlier
+// incarnation of its target, to which an idle connection is open: a process that was suspended
+// runs again while its successor serves at another address.
+func TestOlderConnectionsLeadToTheSameAddress(t *testing.T) {
+	pool := newConnPool(nil, func(string) int { return 4 })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := pool.dial(t.Context(), l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	pool.put("t", c, 0)
+	assert.Nil(t, pool.takeOlder("t", "127.0.0.1:1", bootclock.Now(), "r"))
+	assert.Same(t, c, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"))
 }
 
 // TestStreamIsNotSentOnANewConnectionInstead guards against a continuation that was granted for
@@ -178,7 +194,7 @@
 	c, err := pool.dial(t.Context(), l.Addr().String())
 	require.NoError(t, err)
 	pool.put("t", c, 0)
-	x := &exchange{entry: &Entry{pool: pool}, older: pool.takeOlder("t", bootclock.Now(), "r")}
+	x := &exchange{entry: &Entry{pool: pool}, older: pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r")}
 	peer, err := l.Accept()
 	require.NoError(t, err)
 	peer.Close()
--- a/server/forward/pool.go
+++ b/server/forward/pool.go
@@ -106,14 +106,15 @@
 	return c
 }
 
-// takeOlder removes and returns an idle connection to the target that was opened before a time
-// of the boot clock, or nil. Whoever responds on it is the process that served at that time.
-func (p *connPool) takeOlder(target string, before time.Duration, requestID string) *conn {
+// takeOlder removes and returns an idle connection to the target's address that was opened before
+// a time of the boot clock, or nil. Whoever responds on it is the process that served there at
+// that time. A connection to another address may lead to an earlier incarnation that still runs.
+func (p *connPool) takeOlder(target, address string, before time.Duration, requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
 	for i, c := range list {
-		if c.openedAt < before && c.isUsable() && c.usableFor(requestID) {
+		if c.address == address && c.openedAt < before && c.isUsable() && c.usableFor(requestID) {
 			p.idle[target] = slices.Delete(list, i, i+1)
 			return c
 		}
