Continued streams: a wait is withdrawn only if no other target may continue

The report that withdraws a wait for the target names only the request, and is queued while the next admission is written at once. If it arrived later, the leader cancelled that admission, or freed the slot of a request that was running. A later admission replaces the wait anyway, so the report is sent only if there is none.

The new test fails without the change (a report without a target precedes the admission elsewhere) and passes with it; the tests of server/forward pass.

--- a/server/forward/continue.go
+++ b/server/forward/continue.go
@@ -93,8 +93,11 @@
 	response, err := x.askLedger(ctx, request)
 	if err != nil {
 		x.record.targetErr = errors.Join(x.record.targetErr, err)
-		// The request may still wait in the ledger's queue.
-		x.entry.options.Ledger.Done(ledgerhost.DoneReport{ID: x.call.ID, Result: dispatch.Abandoned})
+		if !x.mayPlace() {
+			// The request may still wait in the ledger's queue. Another admission would replace
+			// it there, and must not be withdrawn by a report that arrives later.
+			x.entry.options.Ledger.Done(ledgerhost.DoneReport{ID: x.call.ID, Result: dispatch.Abandoned})
+		}
 		x.countContinuation("not_granted")
 		return response, false
 	}
--- a/server/forward/continue_test.go
+++ b/server/forward/continue_test.go
@@ -204,6 +204,37 @@
 	assert.Nil(t, x.older)
 }
 
+// TestPlacementElsewhereIsNotWithdrawn guards against a stream that fails although another target
+// may continue it: the report that withdraws the wait for the first target names only the request,
+// and reaches the ledger after the next admission.
+func TestPlacementElsewhereIsNotWithdrawn(t *testing.T) {
+	broken := startFakeTarget(t, streamHeader+chunk(eventText(1))+"<cut>")
+	other := startFakeTarget(t, streamHeader+chunk(eventText(2))+"0\r\n\r\n")
+	l := &testLedger{targets: []string{broken.address, other.address}, software: "v1", holdResumes: true}
+	_, body, err := post(t, startEntry(t, l, true), "/retried/x")
+	require.NoError(t, err)
+	assert.Equal(t, eventText(1)+eventText(2), body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		assert.NotEmpty(t, r.Target, "%+v", r)
+	}
+}
+
+// TestWaitForTheTargetIsWithdrawn guards against a grant that nobody uses, because a stream that no
+// other target may run has given up its wait.
+func TestWaitForTheTargetIsWithdrawn(t *testing.T) {
+	broken := startFakeTarget(t, streamHeader+chunk(eventText(1))+"<cut>")
+	l := &testLedger{targets: []string{broken.address}, software: "v1", holdResumes: true}
+	_, _, err := post(t, startEntry(t, l, true), "/stream/x")
+	assert.Error(t, err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.NotEmpty(t, l.reports)
+	assert.Empty(t, l.reports[0].Target)
+	assert.Equal(t, dispatch.Abandoned, l.reports[0].Result)
+}
+
 // TestBreaksAreReported guards against a leader that does not hear of the end of a target's
 // process: its connection broke off, or a new one was refused.
 func TestBreaksAreReported(t *testing.T) {
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -93,6 +93,8 @@
 	software string
 	// refuseResumes is set if streams may not be resumed at their target.
 	refuseResumes bool
+	// holdResumes is set if streams wait for their target until their time is over.
+	holdResumes bool
 	// revision is that of the leader's catalog, as grants state it; 0 as in earlier releases.
 	revision uint64
 	// onResume is called before a stream is granted at its target again; it may be nil.
@@ -155,7 +157,11 @@
 	l.serving = append(l.serving, servingReport{openedAt, aliveAt})
 }
 
-func (l *testLedger) Admit(_ context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
+func (l *testLedger) Admit(ctx context.Context, r ledgerhost.AdmitRequest) (ledgerhost.AdmitResponse, error) {
+	if l.holdResumes && r.Target != "" {
+		<-ctx.Done()
+		return ledgerhost.AdmitResponse{}, ctx.Err()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.admissions = append(l.admissions, r)
