Ledger: lists of settlements, origins and losses fit into messages of any ids

An entry repeats its settlements, streams and lost responses first on each connection, in lists of up to 1,000 items. Ids of requests and programs come from callers and are bounded only by the size of a request's header. About 70 settlements with ids of 15 KiB exceeded the size of a message: the leader closed the connection, and each later one, so that the entry was out of service until its restart. The same held for answers to settlements. Lists are now divided by size.

With lists of 1,000 items, TestListsFitIntoMessages and TestSettlementsWithLongIDs fail (no admission on any connection); with the change they and TestAnswersFitIntoMessages pass. The check of 1,000 settlements with ids of 256 bytes is one case of TestListsFitIntoMessages.

--- a/server/ledger/losses.go
+++ b/server/ledger/losses.go
@@ -42,15 +42,17 @@
 	k.list = slices.DeleteFunc(k.list, func(l knownLoss) bool { return time.Since(l.reportedAt) > quarantine.LossRetention })
 }
 
-// reports returns the losses as reports to a new leader.
-func (k *knownLosses) reports() []LossReport {
+// messages returns the losses as reports to a new leader, in lists that fit into one message each.
+func (k *knownLosses) messages() [][]LossReport {
 	k.expire()
 	reports := make([]LossReport, len(k.list))
 	for i, l := range k.list {
 		reports[i] = l.LossReport
 		reports[i].Age = time.Since(l.reportedAt)
 	}
-	return reports
+	return divide(reports, func(r LossReport) int {
+		return len(r.Request) + len(r.Organisation) + len(r.Target) + len(r.Address)
+	})
 }
 
 // ReportLoss tells the leader that a response was lost, before any later request of this
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -245,6 +245,31 @@
 // maxMessageBytes bounds the size of one message.
 const maxMessageBytes = 1 << 20
 
+const (
+	// maxListBytes bounds the size of a list of items in one message. It leaves room for a last
+	// item of the size of a request's header.
+	maxListBytes = maxMessageBytes / 2
+	// itemBytes is what an item of a list needs at most besides its texts.
+	itemBytes = 128
+)
+
+// divide divides items into lists that fit into one message each. textBytes returns the size of
+// the texts of an item: the ids of requests and programs come from callers and are bounded only by
+// the size of a request's header.
+func divide[T any](items []T, textBytes func(T) int) [][]T {
+	var lists [][]T
+	for first, size := 0, 0; first < len(items); size = 0 {
+		end := first
+		for end < len(items) && size < maxListBytes {
+			size += itemBytes + textBytes(items[end])
+			end++
+		}
+		lists = append(lists, items[first:end])
+		first = end
+	}
+	return lists
+}
+
 var errMessageTooLarge = errors.New("message is too large")
 
 // encode returns a message: its length as a varint, its kind, and the encoded value.
--- a/server/ledger/origins.go
+++ b/server/ledger/origins.go
@@ -47,20 +47,15 @@
 
 // messages returns the origins for a new leader, in lists that fit into one message each.
 func (k *knownOrigins) messages() [][]streamOrigin {
-	var lists [][]streamOrigin
+	origins := make([]streamOrigin, 0, len(k.byRequest))
 	for id, o := range k.byRequest {
-		if len(lists) == 0 || len(lists[len(lists)-1]) == maxOriginsPerMessage {
-			lists = append(lists, nil)
-		}
-		last := &lists[len(lists)-1]
-		*last = append(*last, streamOrigin{Request: id, Target: o.target, Origin: o.Origin, Left: max(0, time.Until(o.deadline))})
+		origins = append(origins, streamOrigin{Request: id, Target: o.target, Origin: o.Origin, Left: max(0, time.Until(o.deadline))})
 	}
-	return lists
+	return divide(origins, func(o streamOrigin) int {
+		return len(o.Request) + len(o.Target) + len(o.Origin.Service) + len(o.Origin.Software)
+	})
 }
 
-// maxOriginsPerMessage keeps messages of origins below maxMessageBytes.
-const maxOriginsPerMessage = 1000
-
 // recordOrigins applies what an entry repeats about the streams that an earlier leader has
 // granted. The caller holds h.mu.
 func (h *Host) recordOrigins(origins []streamOrigin) {
--- a/server/ledger/quarantine_test.go
+++ b/server/ledger/quarantine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -146,9 +147,9 @@
 	for n := range 2 * maxKnownLosses {
 		known.add(lossOf(n, ""))
 	}
-	assert.Len(t, known.reports(), maxKnownLosses)
+	assert.Len(t, slices.Concat(known.messages()...), maxKnownLosses)
 	known.list[0].reportedAt = time.Now().Add(-2 * quarantine.LossRetention)
-	assert.Len(t, known.reports(), maxKnownLosses-1)
+	assert.Len(t, slices.Concat(known.messages()...), maxKnownLosses-1)
 }
 
 // TestQueuedRequestIsHeldBack guards against a grant for a request that has ended enough
--- a/server/ledger/reconnect.go
+++ b/server/ledger/reconnect.go
@@ -71,7 +71,7 @@
 			return err
 		}
 	}
-	if losses := c.losses.reports(); len(losses) > 0 {
+	for _, losses := range c.losses.messages() {
 		if err := l.send(kindLosses, losses); err != nil {
 			return err
 		}
--- a/server/ledger/settlements.go
+++ b/server/ledger/settlements.go
@@ -16,9 +16,8 @@
 const (
 	// repeatInterval is the time between two checks for settlements that are due again.
 	repeatInterval = 100 * time.Millisecond
-	// maxSettlementsPerMessage keeps messages of settlements below maxMessageBytes, for ids of
-	// up to 256 bytes.
-	maxSettlementsPerMessage = 1000
+	// maxRepeated bounds the settlements that are repeated at a time.
+	maxRepeated = 1000
 	// droppedLogInterval is the shortest time between two log lines about dropped settlements.
 	droppedLogInterval = time.Second
 	// flushInterval is the time between two checks of Flush.
@@ -124,7 +123,7 @@
 func (t *settlementTracker) due() []ledger.Settle {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	due := t.outstanding.Due(bootclock.Now(), maxSettlementsPerMessage)
+	due := t.outstanding.Due(bootclock.Now(), maxRepeated)
 	t.repeated.Inc(int64(len(due)))
 	return due
 }
@@ -152,16 +151,29 @@
 	if len(all) > 0 {
 		c.options.Log.WithFields(logrus.Fields{"event": "settlements_repeated", "leader": l.address, "settlements": len(all), "oldest_ms": age.Milliseconds()}).Info("settlements repeated over a new connection")
 	}
-	for introduces := true; introduces || len(all) > 0; introduces = false {
-		n := min(len(all), maxSettlementsPerMessage)
-		if err := l.send(kindSettlements, &settlementList{Entry: c.options.Entry, Introduces: introduces, Settles: all[:n]}); err != nil {
+	return c.sendSettlements(l, all, true)
+}
+
+// sendSettlements sends settlements in lists that fit into one message each. It sends at least
+// one list if it introduces the entry.
+func (c *Client) sendSettlements(l *clientLink, settles []ledger.Settle, introduces bool) error {
+	lists := divide(settles, settleTextBytes)
+	if introduces && len(lists) == 0 {
+		lists = append(lists, nil)
+	}
+	for i, list := range lists {
+		if err := l.send(kindSettlements, &settlementList{Entry: c.options.Entry, Introduces: introduces && i == 0, Settles: list}); err != nil {
 			return err
 		}
-		all = all[n:]
 	}
 	return nil
 }
 
+// settleTextBytes returns the size of the texts of a settlement.
+func settleTextBytes(s ledger.Settle) int {
+	return len(s.Request) + len(s.Program.Organisation) + len(s.Program.ID)
+}
+
 // repeatSettlements sends settlements again that were not acknowledged in time, until ctx ends.
 func (c *Client) repeatSettlements(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -200,7 +212,7 @@
 // acknowledge settlements is of an earlier release, which only reads done reports.
 func (c *Client) repeat(l *clientLink, settles []ledger.Settle) error {
 	if l.acknowledges.Load() {
-		return l.send(kindSettlements, &settlementList{Entry: c.options.Entry, Settles: settles})
+		return c.sendSettlements(l, settles, false)
 	}
 	for _, s := range settles {
 		if err := l.send(kindDone, &DoneReport{ID: s.Request, Result: dispatch.Abandoned, Settle: &s}); err != nil {
--- a/server/ledger/settlements_test.go
+++ b/server/ledger/settlements_test.go
@@ -1,9 +1,14 @@
 package ledger
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -338,11 +343,99 @@
 		answers := settledMessage{Applied: []string{"a"}, Failed: []string{"b"}}
 		assert.Equal(t, answers, overForm(t, form, kindSettled, answers))
 	}
-	long := ledger.Settle{Program: ledger.Program{Organisation: string(make([]byte, 128)), ID: string(make([]byte, 256))}, Request: string(make([]byte, 256))}
-	for range maxSettlementsPerMessage {
-		sent.Settles = append(sent.Settles, long)
+}
+
+// TestListsFitIntoMessages guards against an entry that no leader accepts any more: ids of the size
+// of a request's header make what it repeats first on each connection exceed a message.
+func TestListsFitIntoMessages(t *testing.T) {
+	for _, idBytes := range []int{0, 36, 256, 16 << 10} {
+		id := string(make([]byte, idBytes))
+		settles := make([]ledger.Settle, 5000)
+		for i := range settles {
+			settles[i] = ledger.Settle{Program: ledger.Program{Organisation: string(make([]byte, 128)), ID: id}, Request: id, Used: math.MaxInt64}
+		}
+		n := 0
+		for _, list := range divide(settles, settleTextBytes) {
+			n += len(list)
+			data, err := compact.Marshal(settlementList{Entry: "entry", Settles: list})
+			require.NoError(t, err)
+			assert.Less(t, len(data), maxMessageBytes)
+		}
+		assert.Len(t, settles, n)
+		origins := knownOrigins{byRequest: make(map[string]originUntil)}
+		for i := range 300 {
+			origins.byRequest[fmt.Sprint(id, i)] = originUntil{Origin: dispatch.Origin{Service: "s", Software: "v1"}, target: "t"}
+		}
+		n = 0
+		for _, list := range origins.messages() {
+			n += len(list)
+			data, err := compact.Marshal(list)
+			require.NoError(t, err)
+			assert.Less(t, len(data), maxMessageBytes)
+		}
+		assert.Equal(t, 300, n)
+		var losses knownLosses
+		for range 300 {
+			losses.add(LossReport{Request: id})
+		}
+		n = 0
+		for _, list := range losses.messages() {
+			n += len(list)
+			data, err := compact.Marshal(list)
+			require.NoError(t, err)
+			assert.Less(t, len(data), maxMessageBytes)
+		}
+		assert.Equal(t, 300, n)
 	}
-	data, err := compact.Marshal(sent)
-	require.NoError(t, err)
-	assert.Less(t, len(data), maxMessageBytes)
+}
+
+// TestSettlementsWithLongIDs guards against settlements whose ids together exceed a message, so that
+// the leader ends each connection of the entry.
+func TestSettlementsWithLongIDs(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	var known atomic.Bool
+	c := startClient(t, func() []string {
+		if known.Load() {
+			return []string{s.address}
+		}
+		return nil
+	})
+	for i := range 200 {
+		turn := turnRequest(fmt.Sprint(strings.Repeat("x", 15<<10), i), 100, 60)
+		c.settlements.add(*Settlement(turn.Reserve, 10), 0)
+	}
+	known.Store(true)
+	turn := turnRequest("a", 100, 60)
+	beginTurn(t, c, turn)
+	endTurn(c, turn, 10)
+	require.Eventually(t, func() bool { return c.settlements.len() == 0 }, 20*time.Second, time.Millisecond)
+	s.awaitCharged(t, turn, 10)
+}
+
+// TestAnswersFitIntoMessages guards against answers to settlements that together exceed a message,
+// so that the entry ends the connection and repeats all of them.
+func TestAnswersFitIntoMessages(t *testing.T) {
+	l := &link{}
+	id := strings.Repeat("x", 15<<10)
+	for i := range 200 {
+		l.answer(&l.answers.Applied, fmt.Sprint(id, i))
+		l.answer(&l.answers.Failed, fmt.Sprint(id, 200+i))
+	}
+	r := bufio.NewReader(bytes.NewReader(l.takeAnswers(math.MaxInt64)))
+	var got settledMessage
+	for {
+		k, payload, err := decode(r)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		require.NoError(t, err)
+		require.Equal(t, kindSettled, k)
+		var m settledMessage
+		require.NoError(t, compact.Unmarshal(payload, &m))
+		got.Applied, got.Failed = append(got.Applied, m.Applied...), append(got.Failed, m.Failed...)
+	}
+	assert.Len(t, got.Applied, 200)
+	assert.Len(t, got.Failed, 200)
+	assert.Nil(t, l.takeAnswers(math.MaxInt64))
 }
--- a/server/ledger/settling.go
+++ b/server/ledger/settling.go
@@ -150,20 +150,31 @@
 	*list = append(*list, request)
 }
 
-// takeAnswers returns a message with the answers, the first of which was added before the
-// given time, or nil if there are none.
+// takeAnswers returns messages with the answers, the first of which was added before the given
+// time, or nil if there are none.
 func (l *link) takeAnswers(before time.Duration) []byte {
 	l.answersMu.Lock()
 	defer l.answersMu.Unlock()
 	if len(l.answers.Applied)+len(l.answers.Failed) == 0 || l.answeredAt > before {
 		return nil
 	}
-	message, err := l.form.encode(kindSettled, &l.answers)
-	if err != nil {
-		l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
+	var messages []byte
+	add := func(m settledMessage) {
+		message, err := l.form.encode(kindSettled, &m)
+		if err != nil {
+			l.host.options.Log.WithField("event", "link_encode_failed").WithError(err).Error("message not sent")
+		}
+		messages = append(messages, message...)
+	}
+	idBytes := func(id string) int { return len(id) }
+	for _, list := range divide(l.answers.Applied, idBytes) {
+		add(settledMessage{Applied: list})
+	}
+	for _, list := range divide(l.answers.Failed, idBytes) {
+		add(settledMessage{Failed: list})
 	}
 	l.answers.Applied, l.answers.Failed = l.answers.Applied[:0], l.answers.Failed[:0]
-	return message
+	return messages
 }
 
 // flushAnswers sends the answers for which no other message has come. The caller holds h.mu.
