Dispatch: streams that wait for certainty cost little for each decision

While the version of a target's software is uncertain, broken streams wait up to 2.5 s at the front of the queue. Each admission and each done report searched all targets twice for each of them. After a break of all connections, the leader could serve only a part of its usual load.

Such a stream is now passed over after a look at its own target.

--- a/coord/dispatch/bench_test.go
+++ b/coord/dispatch/bench_test.go
@@ -71,3 +71,42 @@
 		})
 	}
 }
+
+// BenchmarkBesideStreamsInDoubt measures one admission and one done report while broken streams wait
+// until the versions of their targets are certain. All entries may lose their connections at once.
+func BenchmarkBesideStreamsInDoubt(b *testing.B) {
+	const targets = 36
+	for _, streams := range []int{0, 6 * targets} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			var versions []string
+			for range targets {
+				versions = append(versions, "v1")
+			}
+			d, ts, now := newDoubtTest(versions...)
+			for i := range streams {
+				r := streamRequest(fmt.Sprint("s", i))
+				r.Target, r.TimeLeft = ts[i%targets].ID, time.Hour
+				d.Admit(now, r)
+				d.Done(now, r.ID, r.Target, Broken, 1)
+			}
+			for _, t := range ts {
+				d.Doubt(now, now, t.ID, started, "e")
+			}
+			for i := range streams {
+				d.Admit(now, takeUpAt(fmt.Sprint("c", i), fmt.Sprint("s", i), ts[i%targets].ID))
+			}
+			if waiting := d.Load("s").Waiting; waiting != streams {
+				b.Fatal(waiting)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				r := request(fmt.Sprint("n", n))
+				o := d.Admit(now, r)
+				if o.Target == "" {
+					b.Fatal(o)
+				}
+				d.Done(now, r.ID, o.Target, Completed, 1)
+			}
+		})
+	}
+}
--- a/coord/dispatch/doubt.go
+++ b/coord/dispatch/doubt.go
@@ -141,6 +141,19 @@
 	return !r.Continues || r.SameProcess && r.Target == t.ID || t.doubt == nil && !r.inDoubt
 }
 
+// awaitsCertainty reports whether no target may get a request now as far as the version of the
+// software goes. It looks at one target only, and returns false if it does not know.
+func (d *Dispatcher) awaitsCertainty(r *Request) bool {
+	if !r.Continues || r.SameProcess {
+		return false
+	}
+	if r.inDoubt {
+		return true
+	}
+	t := d.targets[r.Target]
+	return t != nil && t.doubt != nil
+}
+
 // recheckOrigin updates whether the version of the stream that a waiting request continues is
 // uncertain. It returns a refusal if the target turned out to have another version.
 func (d *Dispatcher) recheckOrigin(r *Request) Refusal {
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -93,6 +93,10 @@
 // hasTarget reports whether a request may wait for a target: one that may get it accepts
 // requests.
 func (d *Dispatcher) hasTarget(r *Request) bool {
+	if r.Target != "" {
+		t := d.targets[r.Target]
+		return t != nil && t.Service == r.Service && r.allows(t) && !t.Draining
+	}
 	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
 }
 
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -267,6 +267,11 @@
 			out = append(out, d.dropWithoutTarget(now, w, reason))
 			continue
 		}
+		if d.awaitsCertainty(&w.request) {
+			// Many streams may wait for seconds, so no target is searched for each.
+			at++
+			continue
+		}
 		o, ok := d.place(now, w)
 		switch {
 		case ok:
