--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -270,6 +270,11 @@
 			out = append(out, d.dropWithoutTarget(now, w, reason))
 			continue
 		}
+		if d.awaitsCertainty(&w.request) {
+			// Many streams may wait for seconds, so no target is searched for each.
+			at++
+			continue
+		}
 		granted, o, ok := d.placeFirst(now, q, at)
 		switch {
 		case ok:
