ledger, forward, platform: affinity keys from the header to the leader

Cause: the leader needs the key of a request on a sticky route.

It is announced to the leader by a message of its own before the admission request, as kindSameProcess is: earlier builds check the length of the request and ignore the message; earlier entries do not send it.

--- a/server/forward/admit.go
+++ b/server/forward/admit.go
@@ -38,6 +38,9 @@
 	if x.service.Engine != nil {
 		request.Parts, request.OutputTokens = x.call.Parts, x.call.OutputTokens
 	}
+	if x.route.Sticky && len(request.Parts) == 0 {
+		request.Affinity = affinityOf(x.call.AffinityKey)
+	}
 	if !x.ignorePaths {
 		request.Unreachable = x.entry.paths.unreachable(x.service.Name)
 	}
--- a/server/forward/fakes_test.go
+++ b/server/forward/fakes_test.go
@@ -34,7 +34,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last"), PreviousTurn: h.Get("Previous"), Resumes: h.Get("Resumes")}
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), Program: h.Get("Program"), LastEventID: h.Get("Last"), PreviousTurn: h.Get("Previous"), Resumes: h.Get("Resumes"), AffinityKey: h.Get("Affinity")}
 	if c.Program != "" {
 		c.TokenBudget, c.OutputTokens = 1000, 100
 	}
--- a/server/forward/headers.go
+++ b/server/forward/headers.go
@@ -34,6 +34,8 @@
 	// Resumes is the id of the request that delivered the first event of the stream which
 	// the caller takes up after LastEventID; empty if it starts from the beginning.
 	Resumes string
+	// AffinityKey identifies the object that the request is about; empty if the caller states none.
+	AffinityKey string
 	// PreviousTurn is the id of the request whose history this one continues; empty if
 	// there is none.
 	PreviousTurn string
--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -86,6 +86,7 @@
 	a.link.sendResponse(&r)
 	a.link.reportLoad()
 	h.countOutcome(r)
+	h.countAffinity(a, &r)
 	if a.fairShare != nil {
 		h.shareCounters.count(a.fairShare)
 	}
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -146,7 +146,7 @@
 	return l.write(message)
 }
 
-// sendAdmission writes an admission request, after its announcement if there is one.
+// sendAdmission writes an admission request, after its announcements if there are any.
 func (l *clientLink) sendAdmission(r *AdmitRequest) error {
 	message, err := l.form.encode(kindAdmit, r)
 	if err == nil && r.SameProcess {
@@ -154,6 +154,11 @@
 		announcement, err = l.form.encode(kindSameProcess, &sameProcess{r.ID, r.Attempt})
 		message = append(announcement, message...)
 	}
+	if err == nil && r.Affinity != 0 {
+		var announcement []byte
+		announcement, err = l.form.encode(kindAffinity, &affinity{r.ID, r.Attempt, r.Affinity})
+		message = append(announcement, message...)
+	}
 	if err != nil {
 		return err
 	}
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -39,6 +39,8 @@
 	leadership atomic.Pointer[leadership]
 	// announced is the latest announcement of a request; nil after the request.
 	announced *sameProcess
+	// announcedAffinity is the latest announcement of an affinity; the zero value after the request.
+	announcedAffinity affinity
 	// statedShare and statedAt describe the latest load report to the entry.
 	statedShare float64
 	statedAt    time.Duration
@@ -252,10 +254,13 @@
 		return l.conn.Close()
 	case kindSameProcess:
 		return handleMessage(payload, func(a sameProcess) { l.announced = &a })
+	case kindAffinity:
+		return handleMessage(payload, func(a affinity) { l.announcedAffinity = a })
 	case kindAdmit:
-		announced := l.announced
-		l.announced = nil
+		announced, announcedAffinity := l.announced, l.announcedAffinity
+		l.announced, l.announcedAffinity = nil, affinity{}
 		return handleMessage(payload, func(r AdmitRequest) {
+			r.Affinity = announcedAffinity.of(&r)
 			r.SameProcess = announced != nil && *announced == sameProcess{r.ID, r.Attempt}
 			h.receive(r, l)
 		})
--- a/server/ledger/messages.go
+++ b/server/ledger/messages.go
@@ -80,6 +80,9 @@
 	// acknowledged, and repeats them; kindSettled acknowledges them. Earlier releases ignore both.
 	kindSettlements
 	kindSettled
+	// kindAffinity announces an admission request with dispatch.Request.Affinity. Earlier releases
+	// ignore it.
+	kindAffinity
 )
 
 // AdmitRequest requests a target and starts to reserve the tokens of the turn. The
