--- a/server/ledger/admissions.go
+++ b/server/ledger/admissions.go
@@ -115,6 +115,9 @@
 	if t, ok := h.options.View().Target(r.Target); ok {
 		pairs = pairs.Bool("near", t.DataCentre == a.request.DataCentre).Text("software", t.Software)
 	}
+	if a.request.Affinity != 0 {
+		pairs = pairs.Text("affinity", fingerprintText(a.request.Affinity))
+	}
 	if r.RateLimit != nil {
 		pairs = pairs.Float("rate_limit", *r.RateLimit)
 	}
