ledger: wait for the end of a request in the test of affinity

Cause: with the race detector, TestLeaderPlacesByAffinity failed once: Done does not wait, and the next request met its target still busy, which is over the bound.

Change: the test waits until no request is running. What it checks is unchanged.

--- a/server/ledger/affinity_test.go
+++ b/server/ledger/affinity_test.go
@@ -37,11 +37,20 @@
 	c := startClient(t, func() []string { return []string{s.address} })
 	keyed := decisionOf(t, c, keyedRequest("first", 7))
 	require.Equal(t, dispatch.ReasonAffinity, keyed.Reason)
-	c.Done(DoneReport{ID: "first", Target: keyed.Target, Result: dispatch.Completed, Units: 1})
+	// Done does not wait, and a target that still runs a request may be over its bound.
+	end := func(id, target string) {
+		c.Done(DoneReport{ID: id, Target: target, Result: dispatch.Completed, Units: 1})
+		require.Eventually(t, func() bool {
+			s.host.mu.Lock()
+			defer s.host.mu.Unlock()
+			return s.host.dispatcher.Load("s").Running == 0
+		}, 10*time.Second, time.Millisecond)
+	}
+	end("first", keyed.Target)
 	for _, id := range []string{"a", "b", "c"} {
 		again := decisionOf(t, c, keyedRequest(id, 7))
 		assert.Equal(t, keyed.Target, again.Target)
-		c.Done(DoneReport{ID: id, Target: again.Target, Result: dispatch.Completed, Units: 1})
+		end(id, again.Target)
 	}
 	plain := decisionOf(t, c, keyedRequest("plain", 0))
 	assert.NotContains(t, plain.Reason, "affinity", "one announcement is for one request")
