--- a/coord/dispatch/bench_test.go
+++ b/coord/dispatch/bench_test.go
@@ -71,3 +71,77 @@
 		})
 	}
 }
+
+// BenchmarkBesideStreamsInDoubt measures one admission and one done report while broken streams wait
+// until the versions of their targets are certain. All entries may lose their connections at once.
+func BenchmarkBesideStreamsInDoubt(b *testing.B) {
+	const targets = 36
+	for _, streams := range []int{0, 6 * targets} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			var versions []string
+			for range targets {
+				versions = append(versions, "v1")
+			}
+			d, ts, now := newDoubtTest(versions...)
+			for i := range streams {
+				r := streamRequest(fmt.Sprint("s", i))
+				r.Target, r.TimeLeft = ts[i%targets].ID, time.Hour
+				d.Admit(now, r)
+				d.Done(now, r.ID, r.Target, Broken, 1)
+			}
+			for _, t := range ts {
+				d.Doubt(now, now, t.ID, started, "e")
+			}
+			for i := range streams {
+				d.Admit(now, takeUpAt(fmt.Sprint("c", i), fmt.Sprint("s", i), ts[i%targets].ID))
+			}
+			if waiting := d.Load("s").Waiting; waiting != streams {
+				b.Fatal(waiting)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				r := request(fmt.Sprint("n", n))
+				o := d.Admit(now, r)
+				if o.Target == "" {
+					b.Fatal(o)
+				}
+				d.Done(now, r.ID, o.Target, Completed, 1)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmitByAffinity measures one admission and one done report of requests without prompt
+// parts, with and without an affinity key. The targets hold two requests in the mean.
+func BenchmarkAdmitByAffinity(b *testing.B) {
+	for _, keys := range []bool{false, true} {
+		b.Run(fmt.Sprint("keys=", keys), func(b *testing.B) {
+			d := New(0, 1)
+			d.SetTargets(0, targets(83, 6))
+			now := time.Second
+			var granted []Outcome
+			ids := make([]string, 1000)
+			for i := range ids {
+				ids[i] = fmt.Sprint(i)
+			}
+			admit := func(n int) {
+				r := request(ids[n%len(ids)])
+				r.Entry = "entry"
+				if keys {
+					r.Affinity = uint64(n%500 + 1)
+				}
+				granted = append(granted, d.Admit(now, r))
+			}
+			for n := range 166 {
+				admit(n)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				now += 300 * time.Microsecond
+				admit(166 + n)
+				d.Done(now, granted[0].ID, granted[0].Target, Completed, 1)
+				granted = granted[1:]
+			}
+		})
+	}
+}
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -11,11 +11,17 @@
 func (d *Dispatcher) place(now time.Duration, w *waitingRequest) (Outcome, bool) {
 	r := &w.request
 	prompt := r.promptTokens()
-	need := prompt + r.OutputTokens
-	decision := d.choose(now, r, prompt, need)
+	decision := d.choose(now, r, prompt, prompt+r.OutputTokens)
 	if decision.Action != placement.Dispatch {
 		return Outcome{}, false
 	}
+	return d.grantAt(now, w, decision), true
+}
+
+// grantAt grants the request at the target that a decision names.
+func (d *Dispatcher) grantAt(now time.Duration, w *waitingRequest, decision placement.Decision) Outcome {
+	r := &w.request
+	need := r.promptTokens() + r.OutputTokens
 	t := d.targets[decision.Target]
 	t.outstanding++
 	d.shares.service(now, t.Service).running++
@@ -36,7 +42,7 @@
 	}
 	d.recordOrigin(now, w, t)
 	d.grants[r.ID] = &grant{target: t, organisation: r.Organisation, entry: r.Entry, tokens: need, grantedAt: now, expiry: d.grantExpiries.add(r.ID, w.expires+grantGracePeriod)}
-	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}, true
+	return Outcome{ID: r.ID, Target: t.ID, Waited: now - w.queuedAt, Cached: decision.CachedTokens, Reason: decision.Reason}
 }
 
 // choose makes the placement decision among the targets of the request's best class
@@ -52,6 +58,11 @@
 	best := unusable
 	median := d.median(now, r.Service)
 	preference := d.connections.preference(now, r, d.targetsByService[r.Service])
+	if r.hasAffinity() {
+		if t, reason := d.chooseByAffinity(now, r, need, median, &preference); t != nil {
+			return placement.Decision{Action: placement.Dispatch, Target: t.ID, Reason: reason}
+		}
+	}
 	d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
 		if !r.allows(t) || !r.reaches(t) || !r.mayContinue(t) {
@@ -93,6 +104,10 @@
 // hasTarget reports whether a request may wait for a target: one that may get it accepts
 // requests.
 func (d *Dispatcher) hasTarget(r *Request) bool {
+	if r.Target != "" {
+		t := d.targets[r.Target]
+		return t != nil && t.Service == r.Service && r.allows(t) && !t.Draining
+	}
 	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool { return r.allows(t) && !t.Draining })
 }
 
--- a/server/forward/continue_test.go
+++ b/server/forward/continue_test.go
@@ -158,14 +158,30 @@
 	c, err := pool.dial(t.Context(), l.Addr().String())
 	require.NoError(t, err)
 	pool.put("t", c, 0)
-	assert.Nil(t, pool.takeOlder("t", began, "r"))
-	assert.Same(t, c, pool.takeOlder("t", bootclock.Now(), "r"))
+	assert.Nil(t, pool.takeOlder("t", l.Addr().String(), began, "r"))
+	assert.Same(t, c, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"))
 	pool.restore("t", c)
 	peer, err := l.Accept()
 	require.NoError(t, err)
 	peer.Close()
 	require.Eventually(t, func() bool { return !c.isIdle() }, time.Second, time.Millisecond)
-	assert.Nil(t, pool.takeOlder("t", bootclock.Now(), "r"), "the target has closed it")
+	assert.Nil(t, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"), "the target has closed it")
+}
+
+// TestOlderConnectionsLeadToTheSameAddress guards against a stream that is continued by an earlier
+// incarnation of its target, to which an idle connection is open: a process that was suspended
+// runs again while its successor serves at another address.
+func TestOlderConnectionsLeadToTheSameAddress(t *testing.T) {
+	pool := newConnPool(nil, func(string) int { return 4 })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := pool.dial(t.Context(), l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	pool.put("t", c, 0)
+	assert.Nil(t, pool.takeOlder("t", "127.0.0.1:1", bootclock.Now(), "r"))
+	assert.Same(t, c, pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r"))
 }
 
 // TestStreamIsNotSentOnANewConnectionInstead guards against a continuation that was granted for
@@ -178,7 +194,7 @@
 	c, err := pool.dial(t.Context(), l.Addr().String())
 	require.NoError(t, err)
 	pool.put("t", c, 0)
-	x := &exchange{entry: &Entry{pool: pool}, older: pool.takeOlder("t", bootclock.Now(), "r")}
+	x := &exchange{entry: &Entry{pool: pool}, older: pool.takeOlder("t", l.Addr().String(), bootclock.Now(), "r")}
 	peer, err := l.Accept()
 	require.NoError(t, err)
 	peer.Close()
@@ -188,6 +204,37 @@
 	assert.Nil(t, x.older)
 }
 
+// TestPlacementElsewhereIsNotWithdrawn guards against a stream that fails although another target
+// may continue it: the report that withdraws the wait for the first target names only the request,
+// and reaches the ledger after the next admission.
+func TestPlacementElsewhereIsNotWithdrawn(t *testing.T) {
+	broken := startFakeTarget(t, streamHeader+chunk(eventText(1))+"<cut>")
+	other := startFakeTarget(t, streamHeader+chunk(eventText(2))+"0\r\n\r\n")
+	l := &testLedger{targets: []string{broken.address, other.address}, software: "v1", holdResumes: true}
+	_, body, err := post(t, startEntry(t, l, true), "/retried/x")
+	require.NoError(t, err)
+	assert.Equal(t, eventText(1)+eventText(2), body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		assert.NotEmpty(t, r.Target, "%+v", r)
+	}
+}
+
+// TestWaitForTheTargetIsWithdrawn guards against a grant that nobody uses, because a stream that no
+// other target may run has given up its wait.
+func TestWaitForTheTargetIsWithdrawn(t *testing.T) {
+	broken := startFakeTarget(t, streamHeader+chunk(eventText(1))+"<cut>")
+	l := &testLedger{targets: []string{broken.address}, software: "v1", holdResumes: true}
+	_, _, err := post(t, startEntry(t, l, true), "/stream/x")
+	assert.Error(t, err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.NotEmpty(t, l.reports)
+	assert.Empty(t, l.reports[0].Target)
+	assert.Equal(t, dispatch.Abandoned, l.reports[0].Result)
+}
+
 // TestBreaksAreReported guards against a leader that does not hear of the end of a target's
 // process: its connection broke off, or a new one was refused.
 func TestBreaksAreReported(t *testing.T) {
