Ledger: no 402 while settlements may be lost with an entry's connection

A done report that is lost with a connection, while the leader stays the same, leaves its turn charged with the maximum until the entry has connected again. A turn of the program that came through another entry meanwhile got a 402 although the budget covers it.

TestLostConnectionsDelayExhaustion fails without the change and passes with it. In one run of server/ledger on a busy machine (load average 15), TestReleaseSurvivesAnUncommittedBatch and TestSurgeEnds failed; both also failed without this change.

--- a/coord/ledger/settling.go
+++ b/coord/ledger/settling.go
@@ -7,8 +7,8 @@
 	// leader. An entry that waits for an acknowledgement notices within 0.92 s that a leader is
 	// silent, and any other within 2.1 s; both find the next leader within 0.7 s.
 	settlingAfterElection = 3 * time.Second
-	// settlingAfterFailure is the same after a batch of settlements that was not committed:
-	// a repetition, and its commit.
+	// settlingAfterFailure is the same after a batch of settlements that was not committed, or
+	// the loss of an entry's connection: a repetition, and its commit.
 	settlingAfterFailure = SettlementRetryDelay + 600*time.Millisecond
 )
 
@@ -20,7 +20,7 @@
 // Elected is called when a leadership starts.
 func (s *Settling) Elected(now time.Duration) { s.until = now + settlingAfterElection }
 
-// Failed is called when settlements were not committed.
+// Failed is called when settlements were not committed, or may be lost with a connection.
 func (s *Settling) Failed(now time.Duration) { s.until = max(s.until, now+settlingAfterFailure) }
 
 // Left returns how long settlements may still be outstanding; 0 if there are none.
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -110,6 +110,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, l)
+	if l.acknowledges && !l.superseded.Load() {
+		// Settlements that were lost with the connection follow on the entry's next one.
+		h.settling.Failed(bootclock.Now())
+	}
 }
 
 // dropLinks sends entries that have introduced themselves to an earlier leadership to the
--- a/server/ledger/settlements_test.go
+++ b/server/ledger/settlements_test.go
@@ -225,6 +225,26 @@
 	}, 20*time.Second, time.Millisecond)
 }
 
+// TestLostConnectionsDelayExhaustion guards against a 402 for a program whose turn has ended within
+// its budget, while the entry repeats the settlement that was lost with its connection.
+func TestLostConnectionsDelayExhaustion(t *testing.T) {
+	s := startStore(t, t.TempDir())
+	s.awaitLeader(t)
+	lost, err := dialLink(s.address, currentForm, "", func(l *clientLink, err error) { l.close(err) })
+	require.NoError(t, err)
+	require.NoError(t, lost.send(kindSettlements, &settlementList{Entry: "e", Introduces: true}))
+	state, err := lost.confirm(t.Context(), *turnRequest("a", 100, 60).Reserve)
+	require.NoError(t, err)
+	require.Equal(t, stateDurable, state)
+	s.holdSettling(0)
+	lost.close(nil)
+	require.Eventually(t, func() bool {
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		return s.host.settling != ledger.Settling{}
+	}, 20*time.Second, time.Millisecond)
+}
+
 // TestAcknowledgedSettlementsAreForgotten guards against an entry that repeats settlements which
 // are applied, and whose list of them grows.
 func TestAcknowledgedSettlementsAreForgotten(t *testing.T) {
