dispatch: choose by affinity among the targets that the policy would evaluate

Change: the policy's pass over the targets collects those with capacity, and affinity chooses among them.

--- a/coord/dispatch/affinity.go
+++ b/coord/dispatch/affinity.go
@@ -31,28 +31,29 @@
 // placed by the parts that targets have cached.
 func (r *Request) hasAffinity() bool { return r.Affinity != 0 && len(r.Parts) == 0 }
 
-// chooseByAffinity chooses a target by rendezvous hashing with bounded load: the target that the
-// key prefers most among those that are not overruled. It returns nil if all are. It keeps no
-// state for a key and uses no random numbers.
-func (d *Dispatcher) chooseByAffinity(now time.Duration, r *Request, need int64, median float64, p *preference) (*target, string) {
+// chooseByAffinity chooses among d.free, the healthy and warm targets with capacity, by rendezvous
+// hashing with bounded load: the target that the key prefers most among those that are not
+// overruled. It returns nil if all are. It keeps no state for a key and uses no random numbers.
+func (d *Dispatcher) chooseByAffinity(now time.Duration, r *Request, median float64, p *preference) (*target, string) {
 	targets := d.targetsByService[r.Service]
 	bound := d.affinityBound(now, targets, median)
-	var first, best *target
-	firstDistance, bestDistance := math.Inf(1), math.Inf(1)
-	for _, t := range targets {
-		if t.Draining {
+	var best *target
+	nearest := math.Inf(1)
+	for _, t := range d.free {
+		if !t.mayHoldObjects(now, median) || !bound.allows(t) || t.connectionLimitReached() && !p.open(t) {
 			continue
 		}
-		distance := t.affinityDistance(r.Affinity)
-		if distance < firstDistance {
-			first, firstDistance = t, distance
-		}
-		if distance < bestDistance && t.mayHoldObjects(now, median) && bound.allows(t) && t.acceptsAffinity(now, r, need, p) {
-			best, bestDistance = t, distance
+		if distance := t.affinityDistance(r.Affinity); distance < nearest {
+			best, nearest = t, distance
 		}
 	}
-	if best != first {
-		return best, ReasonAffinityNext
+	if best == nil {
+		return nil, ""
+	}
+	for _, t := range targets {
+		if !t.Draining && t.affinityDistance(r.Affinity) < nearest {
+			return best, ReasonAffinityNext
+		}
 	}
 	return best, ReasonAffinity
 }
@@ -75,12 +76,6 @@
 	return !t.Draining && !t.isSuspect(now) && !t.isCold(now) && t.stats.penalty(now, median) < affinitySlowTokens
 }
 
-// acceptsAffinity reports whether a target that may hold objects can take a request now.
-func (t *target) acceptsAffinity(now time.Duration, r *Request, need int64, p *preference) bool {
-	return r.allows(t) && r.reaches(t) && r.mayContinue(t) && t.classFor(now, r) == healthy &&
-		t.hasCapacity(now, need) && (!t.connectionLimitReached() || p.open(t))
-}
-
 // affinityBound bounds the load of targets that get requests by affinity.
 type affinityBound struct {
 	// running is the number of requests for each slot that a target may hold, and recent the
--- a/coord/dispatch/bench_test.go
+++ b/coord/dispatch/bench_test.go
@@ -73,36 +73,44 @@
 }
 
 // BenchmarkAdmitByAffinity measures one admission and one done report of requests without prompt
-// parts, with and without an affinity key. The targets hold two requests in the mean.
+// parts, with and without an affinity key. The 83 targets hold two requests in the mean, or are full
+// while requests wait.
 func BenchmarkAdmitByAffinity(b *testing.B) {
-	for _, keys := range []bool{false, true} {
-		b.Run(fmt.Sprint("keys=", keys), func(b *testing.B) {
-			d := New(0, 1)
-			d.SetTargets(0, targets(83, 6))
-			now := time.Second
-			var granted []Outcome
-			ids := make([]string, 1000)
-			for i := range ids {
-				ids[i] = fmt.Sprint(i)
-			}
-			admit := func(n int) {
-				r := request(ids[n%len(ids)])
-				r.Entry = "entry"
-				if keys {
-					r.Affinity = uint64(n%500 + 1)
+	for _, load := range []struct {
+		name    string
+		running int
+	}{{"free", 166}, {"full", 1000}} {
+		for _, keys := range []bool{false, true} {
+			b.Run(fmt.Sprint(load.name, "/keys=", keys), func(b *testing.B) {
+				d := New(0, 1)
+				d.SetTargets(0, targets(83, 6))
+				now := time.Second
+				var granted []Outcome
+				ids := make([]string, 2000)
+				for i := range ids {
+					ids[i] = fmt.Sprint(i)
 				}
-				granted = append(granted, d.Admit(now, r))
-			}
-			for n := range 166 {
-				admit(n)
-			}
-			b.ResetTimer()
-			for n := range b.N {
-				now += 300 * time.Microsecond
-				admit(166 + n)
-				d.Done(now, granted[0].ID, granted[0].Target, Completed, 1)
-				granted = granted[1:]
-			}
-		})
+				admit := func(n int) {
+					r := request(ids[n%len(ids)])
+					r.Entry, r.TimeLeft = "entry", time.Hour
+					if keys {
+						r.Affinity = uint64(n%500 + 1)
+					}
+					if o := d.Admit(now, r); o.Target != "" {
+						granted = append(granted, o)
+					}
+				}
+				for n := range load.running {
+					admit(n)
+				}
+				b.ResetTimer()
+				for n := range b.N {
+					now += 300 * time.Microsecond
+					admit(load.running + n)
+					o := granted[0]
+					granted = append(granted[1:], d.Done(now, o.ID, o.Target, Completed, 1)...)
+				}
+			})
+		}
 	}
 }
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -64,6 +64,9 @@
 	candidates []placement.Candidate
 	// coldCandidates is such a buffer for targets that are cold.
 	coldCandidates []placement.Candidate
+	// free is such a buffer for the targets that candidates describe; requests without an affinity
+	// key do not fill it.
+	free []*target
 }
 
 // grant is a request that was assigned to a target and has not ended.
--- a/coord/dispatch/place.go
+++ b/coord/dispatch/place.go
@@ -52,11 +52,8 @@
 	best := unusable
 	median := d.median(now, r.Service)
 	preference := d.connections.preference(now, r, d.targetsByService[r.Service])
-	if r.hasAffinity() {
-		if t, reason := d.chooseByAffinity(now, r, need, median, &preference); t != nil {
-			return placement.Decision{Action: placement.Dispatch, Target: t.ID, Reason: reason}
-		}
-	}
+	keyed := r.hasAffinity()
+	d.free = d.free[:0]
 	d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
 	for _, t := range d.targetsByService[r.Service] {
 		if !r.allows(t) || !r.reaches(t) || !r.mayContinue(t) {
@@ -68,7 +65,7 @@
 		}
 		if class < best {
 			best = class
-			d.candidates, d.coldCandidates = d.candidates[:0], d.coldCandidates[:0]
+			d.candidates, d.coldCandidates, d.free = d.candidates[:0], d.coldCandidates[:0], d.free[:0]
 		}
 		if !t.hasCapacity(now, need) {
 			continue
@@ -80,6 +77,14 @@
 			d.coldCandidates = append(d.coldCandidates, c)
 		} else {
 			d.candidates = append(d.candidates, c)
+			if keyed {
+				d.free = append(d.free, t)
+			}
+		}
+	}
+	if keyed && best == healthy && len(d.free) > 0 {
+		if t, reason := d.chooseByAffinity(now, r, median, &preference); t != nil {
+			return placement.Decision{Action: placement.Dispatch, Target: t.ID, Reason: reason}
 		}
 	}
 	candidates := d.candidates
