dispatch: no second pass for the log reason of affinity

Cause: to tell affinity from affinity_next, each decision with a key computed all distances twice.

Change: the distances of targets without capacity are computed only if there are any.

--- a/coord/dispatch/affinity.go
+++ b/coord/dispatch/affinity.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,29 +36,34 @@
 // hashing with bounded load: the target that the key prefers most among those that are not
 // overruled. It returns nil if all are. It keeps no state for a key and uses no random numbers.
 func (d *Dispatcher) chooseByAffinity(now time.Duration, r *Request, median float64, p *preference) (*target, string) {
-	targets := d.targetsByService[r.Service]
-	bound := d.affinityBound(now, targets, median)
+	bound := d.affinityBound(now, d.targetsByService[r.Service], median)
 	var best *target
-	nearest := math.Inf(1)
+	nearest, nearestOverruled := math.Inf(1), math.Inf(1)
 	for _, t := range d.free {
-		if !t.mayHoldObjects(now, median) || !bound.allows(t) || t.connectionLimitReached() && !p.open(t) {
-			continue
-		}
-		if distance := t.affinityDistance(r.Affinity); distance < nearest {
+		distance := t.affinityDistance(r.Affinity)
+		switch {
+		case !t.mayHoldObjects(now, median) || !bound.allows(t) || t.connectionLimitReached() && !p.open(t):
+			nearestOverruled = min(nearestOverruled, distance)
+		case distance < nearest:
 			best, nearest = t, distance
 		}
 	}
 	if best == nil {
 		return nil, ""
 	}
-	for _, t := range targets {
-		if !t.Draining && t.affinityDistance(r.Affinity) < nearest {
-			return best, ReasonAffinityNext
-		}
+	if nearestOverruled < nearest || len(d.free) < bound.accepting && d.anyNearer(r, nearest) {
+		return best, ReasonAffinityNext
 	}
 	return best, ReasonAffinity
 }
 
+// anyNearer reports whether a target that accepts requests is nearer to the key of a request.
+func (d *Dispatcher) anyNearer(r *Request, distance float64) bool {
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool {
+		return !t.Draining && t.affinityDistance(r.Affinity) < distance
+	})
+}
+
 // affinityDistance ranks targets for a key; the lowest distance is preferred most. It depends only
 // on the key, the id and the slots of the target, so targets that join or leave move no key
 // between others. The distances are exponentially distributed with the slots as their rate, so
@@ -85,6 +91,8 @@
 	few float64
 	// freeSlots is set while a slow target has free slots.
 	freeSlots bool
+	// accepting is the number of targets that accept requests.
+	accepting int
 }
 
 // affinityBound returns the bound for one more request of a service: affinityLoadFactor times the
@@ -94,13 +102,17 @@
 	b := affinityBound{few: fewRecentGrants * weight}
 	running, slots, recent, n := 1, 0, 0.0, 0
 	for _, t := range targets {
+		if t.Draining {
+			continue
+		}
+		b.accepting++
 		switch {
 		case t.mayHoldObjects(now, median):
 			running += t.outstanding
 			slots += max(t.Slots, 1)
 			recent += t.recentLoad
 			n++
-		case !t.Draining && !t.isSuspect(now) && !t.isCold(now):
+		case !t.isSuspect(now) && !t.isCold(now):
 			b.freeSlots = b.freeSlots || t.outstanding < t.Slots
 		}
 	}
