--- a/coord/dispatch/doubt.go
+++ b/coord/dispatch/doubt.go
@@ -67,10 +67,16 @@
 	return d.endDoubt(now, t), true
 }
 
+// minHeartbeatGap is the time between two heartbeats that are not repetitions of one. Targets
+// announce themselves about every 1.2 s.
+const minHeartbeatGap = 500 * time.Millisecond
+
 // Heartbeat records that control received a heartbeat of an incarnation at the time at. It
 // reports whether the version of the target is certain with that. A heartbeat may arrive
 // seconds late, so one that was received after a break may have been sent before it. A target
-// sends the next one after the acknowledgement, so the second was sent after the break.
+// sends the next one after the acknowledgement, so the second was sent after the break, unless
+// both follow each other at once: a heartbeat that is not acknowledged is repeated, and a VM that
+// was suspended reads both together.
 func (d *Dispatcher) Heartbeat(now, at time.Duration, targetID string, started, sequence int64) ([]Outcome, bool) {
 	t := d.targets[targetID]
 	if t == nil || t.doubt == nil || t.Started != started || at <= t.doubt.last {
@@ -81,7 +87,7 @@
 		b.heardAt, b.sequence = at, sequence
 		return nil, false
 	}
-	if at <= b.heardAt || sequence <= b.sequence {
+	if at < b.heardAt+minHeartbeatGap || sequence <= b.sequence {
 		return nil, false
 	}
 	t.certainAt = b.heardAt
--- a/coord/dispatch/doubt_test.go
+++ b/coord/dispatch/doubt_test.go
@@ -260,3 +260,16 @@
 	d, _, now := newDoubtTest("")
 	assert.False(t, d.Doubt(now, now, "t0", started, "e1"))
 }
+
+// TestRepeatedHeartbeatEndsNoDoubt guards against a doubt that ends because a control VM that was
+// suspended reads a heartbeat and its repetition together, both sent before the break.
+func TestRepeatedHeartbeatEndsNoDoubt(t *testing.T) {
+	d, ts, now := newDoubtTest("v1")
+	d.Doubt(now, now, ts[0].ID, started, "e")
+	_, certain := d.Heartbeat(now+100*time.Millisecond, now+100*time.Millisecond, ts[0].ID, started, 1)
+	assert.False(t, certain)
+	_, certain = d.Heartbeat(now+103*time.Millisecond, now+103*time.Millisecond, ts[0].ID, started, 2)
+	assert.False(t, certain)
+	_, certain = d.Heartbeat(now+1300*time.Millisecond, now+1300*time.Millisecond, ts[0].ID, started, 3)
+	assert.True(t, certain)
+}
--- a/server/ledger/client.go
+++ b/server/ledger/client.go
@@ -138,7 +138,6 @@
 		response, err := l.admit(ctx, r)
 		if err == nil {
 			c.recordResponse(l, r, response)
-			c.trackRelease(l, r, response)
 			return response, nil
 		}
 		if ctx.Err() != nil {
--- a/server/ledger/clientlink.go
+++ b/server/ledger/clientlink.go
@@ -72,8 +72,10 @@
 	mu                sync.Mutex
 	err               error
 	pendingAdmissions map[admissionKey]chan AdmitResponse
-	confirmations     map[string]*confirmation
-	lastReceived      time.Time
+	// pendingReserves holds the reservations that the pending first admissions request.
+	pendingReserves map[admissionKey]*ledger.Reserve
+	confirmations   map[string]*confirmation
+	lastReceived    time.Time
 	// pendingConfirms is the number of calls of confirm that wait for an outcome.
 	pendingConfirms int
 	// pendingKeeps holds the calls of keep that wait for an outcome, by number.
@@ -95,7 +97,7 @@
 	}
 	l := &clientLink{
 		address: address, form: form, conn: conn, onFailure: onFailure, closed: make(chan struct{}),
-		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), confirmations: make(map[string]*confirmation), pendingKeeps: make(map[uint64]chan keepState), lastReceived: time.Now(),
+		pendingAdmissions: make(map[admissionKey]chan AdmitResponse), pendingReserves: make(map[admissionKey]*ledger.Reserve), confirmations: make(map[string]*confirmation), pendingKeeps: make(map[uint64]chan keepState), lastReceived: time.Now(),
 	}
 	r := bufio.NewReader(conn)
 	if err := l.handshake(r, lostLeader); err != nil {
@@ -207,6 +209,7 @@
 		key := admissionKey{response.ID, response.Attempt}
 		if ch := l.pendingAdmissions[key]; ch != nil {
 			delete(l.pendingAdmissions, key)
+			l.trackRelease(key, response)
 			ch <- response
 		}
 	case kindReservationOutcome:
@@ -270,6 +273,9 @@
 	key, ch := admissionKey{r.ID, r.Attempt}, make(chan AdmitResponse, 1)
 	l.mu.Lock()
 	l.pendingAdmissions[key] = ch
+	if r.Reserve != nil && r.Attempt == 0 {
+		l.pendingReserves[key] = r.Reserve
+	}
 	if r.Reserve != nil && l.confirmations[r.ID] == nil {
 		l.confirmations[r.ID] = &confirmation{done: make(chan struct{}), createdAt: time.Now()}
 	}
@@ -278,6 +284,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.pendingAdmissions, key)
+		delete(l.pendingReserves, key)
 	}()
 	if err := l.sendAdmission(&r); err != nil {
 		return AdmitResponse{}, err
--- a/server/ledger/settlements.go
+++ b/server/ledger/settlements.go
@@ -224,11 +224,15 @@
 }
 
 // trackRelease stores the settlement of a request that the leader has refused. The leader
-// releases the reservation itself; the settlement is repeated if that does not succeed.
-func (c *Client) trackRelease(l *clientLink, r AdmitRequest, response AdmitResponse) {
-	if r.Reserve != nil && r.Attempt == 0 && response.Refusal != "" && response.Refusal != dispatch.PathLost && l.acknowledges.Load() {
-		c.settlements.add(*Settlement(r.Reserve, 0), ledger.SettlementTimeout)
+// releases the reservation itself; the settlement is repeated if that does not succeed. It is
+// stored before the next message is read, which may answer it. The caller holds l.mu.
+func (l *clientLink) trackRelease(key admissionKey, response AdmitResponse) {
+	r := l.pendingReserves[key]
+	tracker := l.settlements.Load()
+	if r == nil || tracker == nil || response.Refusal == "" || response.Refusal == dispatch.PathLost || !l.acknowledges.Load() {
+		return
 	}
+	tracker.add(*Settlement(r, 0), ledger.SettlementTimeout)
 }
 
 // Flush waits until all settlements are acknowledged or ctx ends.
