--- a/coord/dispatch/affinity.go
+++ b/coord/dispatch/affinity.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,32 +32,38 @@
 // placed by the parts that targets have cached.
 func (r *Request) hasAffinity() bool { return r.Affinity != 0 && len(r.Parts) == 0 }
 
-// chooseByAffinity chooses a target by rendezvous hashing with bounded load: the target that the
-// key prefers most among those that are not overruled. It returns nil if all are. It keeps no
-// state for a key and uses no random numbers.
-func (d *Dispatcher) chooseByAffinity(now time.Duration, r *Request, need int64, median float64, p *preference) (*target, string) {
-	targets := d.targetsByService[r.Service]
-	bound := d.affinityBound(now, targets, median)
-	var first, best *target
-	firstDistance, bestDistance := math.Inf(1), math.Inf(1)
-	for _, t := range targets {
-		if t.Draining {
-			continue
-		}
+// chooseByAffinity chooses among d.free, the healthy and warm targets with capacity, by rendezvous
+// hashing with bounded load: the target that the key prefers most among those that are not
+// overruled. It returns nil if all are. It keeps no state for a key and uses no random numbers.
+func (d *Dispatcher) chooseByAffinity(now time.Duration, r *Request, median float64, p *preference) (*target, string) {
+	bound := d.affinityBound(now, d.targetsByService[r.Service], median)
+	var best *target
+	nearest, nearestOverruled := math.Inf(1), math.Inf(1)
+	for _, t := range d.free {
 		distance := t.affinityDistance(r.Affinity)
-		if distance < firstDistance {
-			first, firstDistance = t, distance
-		}
-		if distance < bestDistance && t.mayHoldObjects(now, median) && bound.allows(t) && t.acceptsAffinity(now, r, need, p) {
-			best, bestDistance = t, distance
+		switch {
+		case !t.mayHoldObjects(now, median) || !bound.allows(t) || t.connectionLimitReached() && !p.open(t):
+			nearestOverruled = min(nearestOverruled, distance)
+		case distance < nearest:
+			best, nearest = t, distance
 		}
 	}
-	if best != first {
+	if best == nil {
+		return nil, ""
+	}
+	if nearestOverruled < nearest || len(d.free) < bound.accepting && d.anyNearer(r, nearest) {
 		return best, ReasonAffinityNext
 	}
 	return best, ReasonAffinity
 }
 
+// anyNearer reports whether a target that accepts requests is nearer to the key of a request.
+func (d *Dispatcher) anyNearer(r *Request, distance float64) bool {
+	return slices.ContainsFunc(d.targetsByService[r.Service], func(t *target) bool {
+		return !t.Draining && t.affinityDistance(r.Affinity) < distance
+	})
+}
+
 // affinityDistance ranks targets for a key; the lowest distance is preferred most. It depends only
 // on the key, the id and the slots of the target, so targets that join or leave move no key
 // between others. The distances are exponentially distributed with the slots as their rate, so
@@ -75,12 +82,6 @@
 	return !t.Draining && !t.isSuspect(now) && !t.isCold(now) && t.stats.penalty(now, median) < affinitySlowTokens
 }
 
-// acceptsAffinity reports whether a target that may hold objects can take a request now.
-func (t *target) acceptsAffinity(now time.Duration, r *Request, need int64, p *preference) bool {
-	return r.allows(t) && r.reaches(t) && r.mayContinue(t) && t.classFor(now, r) == healthy &&
-		t.hasCapacity(now, need) && (!t.connectionLimitReached() || p.open(t))
-}
-
 // affinityBound bounds the load of targets that get requests by affinity.
 type affinityBound struct {
 	// running is the number of requests for each slot that a target may hold, and recent the
@@ -90,6 +91,8 @@
 	few float64
 	// freeSlots is set while a slow target has free slots.
 	freeSlots bool
+	// accepting is the number of targets that accept requests.
+	accepting int
 }
 
 // affinityBound returns the bound for one more request of a service: affinityLoadFactor times the
@@ -99,13 +102,17 @@
 	b := affinityBound{few: fewRecentGrants * weight}
 	running, slots, recent, n := 1, 0, 0.0, 0
 	for _, t := range targets {
+		if t.Draining {
+			continue
+		}
+		b.accepting++
 		switch {
 		case t.mayHoldObjects(now, median):
 			running += t.outstanding
 			slots += max(t.Slots, 1)
 			recent += t.recentLoad
 			n++
-		case !t.Draining && !t.isSuspect(now) && !t.isCold(now):
+		case !t.isSuspect(now) && !t.isCold(now):
 			b.freeSlots = b.freeSlots || t.outstanding < t.Slots
 		}
 	}
