rpc: keep serving when a connection can't be accepted; grow the buffers of messages as they arrive

The RPC server returned the error of a failed accept, which ended the process: callers that used up the descriptors of a process through any address, or connected to its RPC port only, ended it (24 times in 168 subtests of platform/abuse). It now logs the error and tries again after 50 ms. A message of stated length was allocated before its bytes arrived, so 64 callers that stated 60 MiB and sent 16 MiB made a control VM hold 1,091 MiB. Its buffer now grows with the bytes.

--- a/server/rpc/server.go
+++ b/server/rpc/server.go
@@ -5,15 +5,19 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// acceptRetryInterval is the time between two attempts to accept a connection. It bounds the log
+// lines as well.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // Server executes the calls that arrive on the connections of its listeners.
 type Server struct {
 	reservation
@@ -66,7 +70,11 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return fmt.Errorf("accept: %w", err)
+			// Too many descriptors are open, or the peer has gone. Either passes, and the
+			// process must not end for it.
+			s.log.WithField("event", "rpc_accept_failed").WithError(err).Warn("a connection can't be accepted")
+			time.Sleep(acceptRetryInterval)
+			continue
 		}
 		go s.dispatchConn(c)
 	}
--- a/server/rpc/stream.go
+++ b/server/rpc/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,13 +135,30 @@
 		return err
 	}
 	defer release()
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
+	buf, err := readSteps(r, int(size))
+	if err != nil {
 		return err
 	}
 	return json.Unmarshal(buf, v)
 }
 
+// readSteps reads size bytes. Its buffer grows with the bytes that have arrived, so that a peer
+// that states a long message and sends little holds little.
+func readSteps(r io.Reader, size int) ([]byte, error) {
+	buf := make([]byte, 0, min(size, reservedFrameBytes))
+	for len(buf) < size {
+		if len(buf) == cap(buf) {
+			buf = slices.Grow(buf, min(size-len(buf), len(buf)))
+		}
+		n, err := io.ReadFull(r, buf[len(buf):min(cap(buf), size)])
+		buf = buf[:len(buf)+n]
+		if err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
 // discardLogger drops the log output of jsonrpc2, because the users of this package log
 // failures themselves.
 type discardLogger struct{}
