inbound: bounds on connections, heads and bodies of callers at all addresses

Cause: nothing bounded the connections of an address, the heads that net/http parses (1 MiB each), the bodies that the control API holds at once, or the time of bodies that no handler reads; addresses other than that of callers kept connections whose peer does not read. 74 of 168 subtests of platform/abuse failed.

Change: server/inbound wraps the listeners and servers of all HTTP addresses of the platform's roles. coord/connquota decides on connections, by address and by caller address. Heads are bounded in bytes, fields, time and in all; bodies in time, and on control VMs by the memory quota, as are the messages of VMs there and on store VMs. Each refusal is counted by reason, with a sampled log line. The control API answers 503 for a lack of memory and 408 for a slow body, no longer 400. vm.max_descriptors states the limit of descriptors if the system does not.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -18,8 +18,10 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/memquota"
+	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/forward"
 	"hemlockvale.dev/server/graceful"
+	"hemlockvale.dev/server/inbound"
 	"hemlockvale.dev/server/metrics"
 	"hemlockvale.dev/server/quorum"
 	"hemlockvale.dev/server/registry"
@@ -32,7 +34,7 @@
 	// dialTimeout bounds a connection attempt to another VM. VMs are a few
 	// milliseconds apart.
 	dialTimeout = 200 * time.Millisecond
-	// readHeaderTimeout bounds the time in which an HTTP client sends its header.
+	// readHeaderTimeout bounds the time in which another VM sends the header of a request.
 	readHeaderTimeout = 10 * time.Second
 	// reloadInterval is the time between two checks whether the settings file has changed.
 	reloadInterval = time.Second
@@ -86,9 +88,13 @@
 	current atomic.Pointer[settings.Node]
 	// startedUnixNano is the start of the process in nanoseconds of Unix time.
 	startedUnixNano int64
-	pool            *rpc.Pool
-	rpc             *rpc.Server
-	metrics         gometrics.Registry
+	// guard bounds what callers can take of the process. limits returns the limits of the
+	// configuration; it is nil until the role knows it.
+	guard   *inbound.Guard
+	limits  atomic.Pointer[func() routing.Limits]
+	pool    *rpc.Pool
+	rpc     *rpc.Server
+	metrics gometrics.Registry
 	// failures receives the errors of background tasks.
 	failures chan error
 }
@@ -108,6 +114,8 @@
 	if err != nil {
 		return fmt.Errorf("vm.rpc_listen: %w", err)
 	}
+	p.guard = newGuard(p)
+	listener = p.guard.Listener("vm.rpc_listen", rpcPercent[o.Settings.VM.Role], listener)
 	p.startTask("rpc_server", func() error { return p.rpc.Serve(listener) })
 	if err := p.serveMetrics(); err != nil {
 		return err
@@ -167,19 +175,31 @@
 
 // serve starts an HTTP server on an address. name identifies the address in errors.
 func (p *process) serve(name, address string, h http.Handler) (*http.Server, error) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: h}
 	return s, p.start(name, address, s, nil)
 }
 
+// servePeers starts an HTTP server for other VMs, whose connections are counted only.
+func (p *process) servePeers(name, address string, h http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	p.serveOn(name, s, p.guard.Listener(name, connectionPercent[name], listener))
+	return s, nil
+}
+
 // serveGracefully is serve for a server that can be stopped without cutting requests off. wrap
 // changes the listener; nil for none.
 func (p *process) serveGracefully(name, address string, h http.Handler, wrap func(net.Listener) net.Listener) (*graceful.Conns, error) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: h}
 	conns := graceful.Track(s)
 	return conns, p.start(name, address, s, wrap)
 }
 
-// start serves on an address until the server is closed.
+// start serves on an address until the server is closed. wrap returns a listener that closes
+// connections whose peer does not read; nil for the default.
 func (p *process) start(name, address string, s *http.Server, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -188,13 +208,19 @@
 	if wrap != nil {
 		listener = wrap(listener)
 	}
+	p.guard.Configure(s, reservesBodies[name])
+	p.serveOn(name, s, p.guard.HTTPListener(name, connectionPercent[name], listener, wrap != nil))
+	return nil
+}
+
+// serveOn serves the connections of a listener until the server is closed.
+func (p *process) serveOn(name string, s *http.Server, listener net.Listener) {
 	p.startTask(name, func() error {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	return nil
 }
 
 // serveMetrics registers the metrics of the process and serves all metrics if the
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/forward"
 	"hemlockvale.dev/server/graceful"
@@ -47,6 +48,7 @@
 
 // runControl runs the control role, which keeps the configuration and the catalog.
 func (p *process) runControl(ctx context.Context) error {
+	p.rpc.SetReserve(p.guard.ReservePeer)
 	machine := registry.NewMachine()
 	var initialMembers []string
 	if p.beginFormation(ctx) {
@@ -96,6 +98,7 @@
 
 // runStore runs the store role, which keeps the ledger.
 func (p *process) runStore(ctx context.Context) error {
+	p.rpc.SetReserve(p.guard.ReservePeer)
 	var leader atomic.Value
 	leader.Store("")
 	var host atomic.Pointer[ledger.Host]
@@ -161,7 +164,7 @@
 	}
 	go disk.Run(ctx)
 	service := history.NewService(disk, c, p.Log, p.metrics)
-	return p.serve("vm.history_address", p.Settings.VM.HistoryAddress, service.Handler())
+	return p.servePeers("vm.history_address", p.Settings.VM.HistoryAddress, service.Handler())
 }
 
 // historyCopies returns the number of store VMs that hold each history, so that one is left
@@ -225,6 +228,13 @@
 		},
 	})
 	go follower.Run(taskCtx)
+	limits := func() routing.Limits {
+		if table := follower.View().Table; table != nil {
+			return table.Configuration.Limits
+		}
+		return routing.Limits{}
+	}
+	p.limits.Store(&limits)
 	client := ledger.NewClient(ledger.ClientOptions{Leader: follower.StoreLeader, Stores: follower.Stores, Entry: p.Settings.VM.RPCAddress, Log: p.Log, Metrics: p.metrics})
 	go client.Run(taskCtx)
 	histories := history.NewClient()
--- a/server/settings/node.go
+++ b/server/settings/node.go
@@ -59,6 +59,10 @@
 	// BufferQuotaMB bounds the bytes in MiB that an entry buffers on behalf of callers, targets
 	// and other VMs; 0 means that it is derived from MemoryMB.
 	BufferQuotaMB int64 `json:"buffer_quota_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the process may have open, from which the
+	// limits of connections are derived; 0 means the limit of the system (RLIMIT_NOFILE), which
+	// applies if it is lower.
+	MaxDescriptors int64 `json:"max_descriptors,omitempty"`
 }
 
 // Formation configures how the VMs find each other, the first start of the deployment and
@@ -244,4 +248,5 @@
 	c.checkPositive("callers.stall_timeout_ms", n.Callers.StallTimeoutMS)
 	c.checkNotNegative("vm.memory_mb", n.VM.MemoryMB)
 	c.checkNotNegative("vm.buffer_quota_mb", n.VM.BufferQuotaMB)
+	c.checkNotNegative("vm.max_descriptors", n.VM.MaxDescriptors)
 }
--- a/server/settings/node_test.go
+++ b/server/settings/node_test.go
@@ -33,13 +33,13 @@
 
 	assert.Equal(t, 5*time.Second, n.Callers.StallTimeout())
 
-	negative := strings.NewReplacer(`"region"`, `"memory_mb": -1, "buffer_quota_mb": -1, "region"`, `"ready_address"`, `"stall_timeout_ms": 0, "ready_address"`).Replace(entrySettings)
+	negative := strings.NewReplacer(`"region"`, `"memory_mb": -1, "buffer_quota_mb": -1, "max_descriptors": -1, "region"`, `"ready_address"`, `"stall_timeout_ms": 0, "ready_address"`).Replace(entrySettings)
 	_, findings = ParseNode([]byte(negative))
 	paths = nil
 	for _, f := range findings {
 		paths = append(paths, f.Path)
 	}
-	assert.ElementsMatch(t, []string{"vm.memory_mb", "vm.buffer_quota_mb", "callers.stall_timeout_ms"}, paths)
+	assert.ElementsMatch(t, []string{"vm.memory_mb", "vm.buffer_quota_mb", "vm.max_descriptors", "callers.stall_timeout_ms"}, paths)
 
 	for name, change := range map[string][2]string{
 		"control without data_dir": {`"entry"`, `"control"`},
