--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -152,3 +152,40 @@
 		return status(t, c, bufio.NewReader(c), requestLine+"Content-Length: 4\r\n\r\nbody") == 200
 	}, endTime, time.Millisecond)
 }
+
+// TestTimeouts guards against time bounds that callers within the configuration's limits reach.
+func TestTimeouts(t *testing.T) {
+	for _, limits := range []routing.Limits{{}, {HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}, {HeaderTimeoutMS: 60000, IdleTimeoutMS: 120000}} {
+		g, _ := startGuarded(t, 1000)
+		g.options.Limits = func() routing.Limits { return limits }
+		assert.Greater(t, g.headTimeout(), time.Duration(max(limits.HeaderTimeoutMS, 3000))*time.Millisecond)
+		assert.Greater(t, g.idleTimeout(), time.Duration(max(limits.IdleTimeoutMS, 15000))*time.Millisecond)
+	}
+}
+
+// TestHandlerTime guards against a deadline of the server that ends a request while its handler
+// runs: after the body has been read, reads only notice a caller that disconnects.
+func TestHandlerTime(t *testing.T) {
+	for _, body := range []string{"Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "Content-Length: 0\r\n\r\n"} {
+		g := New(Options{Descriptors: 1000, MemoryQuota: testQuota, Log: logrus.NewEntry(logrus.New()), Metrics: gometrics.NewRegistry()})
+		deadlines := make(chan time.Time, 1)
+		s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			c := r.Context().Value(connKey{}).(*conn)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.inBody {
+				c.limit = time.Now()
+			}
+			deadlines <- c.limit
+		})}
+		g.Configure(s, false)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { _ = s.Serve(g.HTTPListener("test", 100, l, false)) }()
+		t.Cleanup(func() { s.Close() })
+		c, r := dial(t, l.Addr().String())
+		assert.Equal(t, 200, status(t, c, r, requestLine+body))
+		assert.Zero(t, <-deadlines, body)
+	}
+}
