Entry: a turn waits for the store VMs that have to keep it

Cause: after the loss of all VMs, the leader admits requests before the store VMs have opened their records and reported.

Change: a request on a route that keeps histories waits up to 500 ms until enough store VMs are known, else it is refused as not run. TestTurnWaitsForHistoryStores failed before.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -216,7 +216,7 @@
 	x.initHoldings()
 	defer x.releaseHoldings()
 	defer x.finish()
-	if !x.prepare() {
+	if !x.prepare() || !x.awaitHistoryStores() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeLeft())
--- a/server/forward/history.go
+++ b/server/forward/history.go
@@ -62,6 +62,29 @@
 	staged bool
 }
 
+const (
+	// historyStoresTimeout bounds the wait for enough store VMs. After the loss of all VMs,
+	// requests may be admitted some 100 ms before the store VMs have opened their records.
+	historyStoresTimeout      = 500 * time.Millisecond
+	historyStoresPollInterval = 10 * time.Millisecond
+)
+
+// awaitHistoryStores waits until as many store VMs are known as have to hold the turn. Without
+// them, a target would generate a response whose end the caller can't get. It returns false,
+// after responding to the caller, if they don't report in time.
+func (x *exchange) awaitHistoryStores() bool {
+	if !x.route.KeepsHistory {
+		return true
+	}
+	for waited := time.Duration(0); len(x.entry.options.HistoryStores()) < x.entry.options.HistoryCopies; waited += historyStoresPollInterval {
+		if waited >= historyStoresTimeout || x.timeLeft() <= 0 || x.request.Context().Err() != nil {
+			return x.respondError(http.StatusServiceUnavailable, "history_unavailable", unavailableRetryAfter)
+		}
+		time.Sleep(historyStoresPollInterval)
+	}
+	return true
+}
+
 // turn returns the turn of this organisation with the given id.
 func (x *exchange) turn(id string) history.Turn {
 	t := history.Turn{ID: id}
