--- a/cmd/hemlockctl/stores.go
+++ b/cmd/hemlockctl/stores.go
@@ -11,8 +11,8 @@
 	"hemlockvale.dev/server/rpc"
 )
 
-// storeDialTimeout bounds a connection attempt to a store or control VM.
-const storeDialTimeout = time.Second
+// vmDialTimeout bounds a connection attempt to a store or control VM.
+const vmDialTimeout = time.Second
 
 // addStoreFlag adds the flag for the addresses of store VMs.
 func addStoreFlag(cmd *cobra.Command, stores *[]string) {
@@ -28,9 +28,10 @@
 	return askLeader(ctx, stores, method, params, response)
 }
 
-// askLeader calls a method of the VMs at the addresses in order until one responds.
+// askLeader calls a method that only the leader executes. It tries the VMs at the addresses in
+// order until one responds without an error.
 func askLeader(ctx context.Context, addresses []string, method string, params, response any) error {
-	pool := rpc.NewPool(storeDialTimeout)
+	pool := rpc.NewPool(vmDialTimeout)
 	defer pool.Close()
 	var errs []error
 	for _, address := range addresses {
--- a/coord/connquota/connquota.go
+++ b/coord/connquota/connquota.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Connections returns the number of open connections, and Owners that of their owners.
+// Connections returns the number of open connections.
 func (q *Quota) Connections() int { return q.open }
 
 // Owners returns the number of owners that have open connections.
--- a/coord/dispatch/doubt.go
+++ b/coord/dispatch/doubt.go
@@ -95,7 +95,7 @@
 }
 
 // ExpireDoubts ends the doubts whose latest break is older than age. It serves deployments whose
-// control VMs, of earlier builds, do not say which heartbeats they received.
+// control VMs, of earlier releases, do not say which heartbeats they received.
 func (d *Dispatcher) ExpireDoubts(now, age time.Duration) []Outcome {
 	var out []Outcome
 	for _, t := range d.doubted {
--- a/coord/dispatch/fairshare.go
+++ b/coord/dispatch/fairshare.go
@@ -75,13 +75,14 @@
 	recent, window workSum
 	organisations  map[string]*organisationShare
 	// scarce is set while the capacity is known, several organisations use the service and
-	// requests wait for at least backlogEnd. capacity is in slots; budget
-	// is the work that fits each horizon, total the expected work, and level the work up to
-	// which each organisation may start programs.
+	// requests wait for at least backlogEnd.
 	scarce bool
 	// sharing is the number of organisations with expected work.
-	sharing              int
-	capacity             float64
+	sharing int
+	// capacity is in slots; 0 while it is not known.
+	capacity float64
+	// budget is the work that fits each horizon, total the expected work, and level the work up
+	// to which each organisation may start programs, in seconds of a slot.
 	budget, total, level horizonValues
 }
 
--- a/coord/dispatch/origin.go
+++ b/coord/dispatch/origin.go
@@ -91,7 +91,7 @@
 }
 
 // resolveOrigin sets the origin of a request that continues a stream. It returns a refusal
-// if no target may continue the stream, or if nobody knows which ones may. What the sending VM
+// if no target may continue the stream, or if it is not known which ones may. What the sending VM
 // states about a stream that it broke off itself is what its grant stated, so the grant must
 // still be known as well.
 func (d *Dispatcher) resolveOrigin(r *Request) Refusal {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -127,7 +127,7 @@
 	DataCentre string `json:"d,omitempty"`
 	// SameProcess is set if the sending VM continues the stream on a connection to Target that
 	// it had opened before the stream began. It is not a part of the encoded request, whose
-	// fields earlier builds count.
+	// fields earlier releases count.
 	SameProcess bool `json:"-" msgpack:"-"`
 	// Affinity is the hash of the object that the request is about; 0 if it has none, or if its
 	// route is not sticky. Like SameProcess, it is not a part of the encoded request.
--- a/server/forward/exchange.go
+++ b/server/forward/exchange.go
@@ -71,13 +71,13 @@
 	// lastEventID is the id of the latest event that has one.
 	events      int64
 	lastEventID string
-	// granted is the latest grant, which arrived at grantedAt, and origin is what began the stream of which events
-	// were relayed; nil if none were.
+	// granted is the latest grant, which arrived at grantedAt.
 	granted   ledgerhost.AdmitResponse
 	grantedAt time.Time
 	// grantedAfter is a time of bootclock before which the latest grant was not made.
 	grantedAfter time.Duration
-	origin       *dispatch.Origin
+	// origin is what began the stream of which events were relayed; nil if none were.
+	origin *dispatch.Origin
 	// streamed is set once the whole stream has been relayed.
 	streamed bool
 	history  turnHistory
--- a/server/inbound/inbound.go
+++ b/server/inbound/inbound.go
@@ -76,7 +76,7 @@
 	// logInterval is the time between two log lines.
 	logInterval = time.Second
 
-	// serverIdleTimeout and serverHeadTimeout are the timeouts of the http.Server. Conn recognises
+	// serverIdleTimeout and serverHeadTimeout are the timeouts of the http.Server. conn recognises
 	// deadlines that are set from them, which no request has, and replaces them by those of the
 	// current configuration.
 	serverIdleTimeout = 50 * 365 * 24 * time.Hour
@@ -144,8 +144,8 @@
 	return bounded
 }
 
-// HTTPListener is Listener for callers of a server that Configure has prepared. Connections whose peer does
-// not read are closed unless l closes them itself.
+// HTTPListener is Listener for callers of a server that Configure has prepared. Connections whose
+// peer does not read are closed, unless closesStalled states that l closes them itself.
 func (g *Guard) HTTPListener(name string, percent int, l net.Listener, closesStalled bool) net.Listener {
 	if !closesStalled {
 		l = &progress.Listener{Listener: l, Timeout: stallTimeout, OnStall: func() { g.note(name, "", "caller_stalled") }}
--- a/server/ledger/doubts.go
+++ b/server/ledger/doubts.go
@@ -28,7 +28,7 @@
 	// heartbeatPollInterval is the time between two questions to control about the heartbeats of
 	// targets in doubt. Targets send one in about 1.2 s.
 	heartbeatPollInterval = 300 * time.Millisecond
-	// maxAgeUnheard is how long a doubt lasts if all control VMs are of earlier builds, which do
+	// maxAgeUnheard is how long a doubt lasts if all control VMs are of earlier releases, which do
 	// not say what they heard: three heartbeats and their delay.
 	maxAgeUnheard = 5 * time.Second
 )
@@ -187,7 +187,7 @@
 func (l *link) reporter() string { return l.conn.RemoteAddr().String() }
 
 // doubtLosses handles the lost responses among which connections broke off. Entries of earlier
-// builds report only these. The caller holds h.mu.
+// releases report only these. The caller holds h.mu.
 func (h *Host) doubtLosses(reporter string, losses []LossReport) {
 	for _, l := range losses {
 		if l.Kind == quarantine.Disconnected {
--- a/server/ledger/doubts_test.go
+++ b/server/ledger/doubts_test.go
@@ -200,7 +200,7 @@
 }
 
 // TestDoubtsEndWithoutControlThatCanTell guards against a doubt that lasts as long as all control
-// VMs are of an earlier build.
+// VMs are of an earlier release.
 func TestDoubtsEndWithoutControlThatCanTell(t *testing.T) {
 	s := openStore(t, t.TempDir())
 	s.host.options.Heartbeats = (&heardByControl{answer: registry.HeartbeatsUnknown}).heartbeats
@@ -214,7 +214,7 @@
 }
 
 // TestReportsOfLaterBuildsAreIgnored guards against a connection that ends when a store VM of
-// this build gets a message of a kind that it does not know, as those of earlier builds get the
+// this release gets a message of a kind that it does not know, as those of earlier releases get the
 // reports about breaks, and against a change of the messages that those know.
 func TestReportsOfLaterBuildsAreIgnored(t *testing.T) {
 	s := startStore(t, t.TempDir())
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -46,8 +46,8 @@
 	statedAt    time.Duration
 	// statedRevision is the revision of the latest catalogRevision message; 0 before the first.
 	statedRevision uint64
-	// entryID identifies the entry's process, and acknowledges is set if it gets acknowledgements; both are
-	// protected by the host's mu.
+	// entryID identifies the entry's process, and acknowledges is set if it gets acknowledgements.
+	// Both are protected by the host's mu.
 	entryID      string
 	acknowledges bool
 	// superseded is set once the entry has another connection.
--- a/server/progress/progress.go
+++ b/server/progress/progress.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		// Checks are counted instead of the time, so that a process that was suspended does not
-		// take its own absence for that of the peer.
+		// count the time of its suspension as time without progress.
 		if idleChecks++; idleChecks < checksPerTimeout {
 			continue
 		}
--- a/server/registry/heartbeats.go
+++ b/server/registry/heartbeats.go
@@ -116,7 +116,7 @@
 const (
 	// HeartbeatsUnanswered means that no control VM responded.
 	HeartbeatsUnanswered HeartbeatsAnswer = iota
-	// HeartbeatsUnknown means that all control VMs that responded are of earlier builds, which
+	// HeartbeatsUnknown means that all control VMs that responded are of earlier releases, which
 	// do not know the question.
 	HeartbeatsUnknown
 	// HeartbeatsAnswered means that a control VM answered.
--- a/server/registry/heartbeats_test.go
+++ b/server/registry/heartbeats_test.go
@@ -62,7 +62,7 @@
 	assert.Error(t, err)
 }
 
-// TestControlVMsThatCannotTell guards against control VMs of earlier builds, which do not know the
+// TestControlVMsThatCannotTell guards against control VMs of earlier releases, which do not know the
 // question, that pass for ones without heartbeats, or for ones that can't be reached.
 func TestControlVMsThatCannotTell(t *testing.T) {
 	log := logrus.New()
