--- a/coord/dispatch/affinity_test.go
+++ b/coord/dispatch/affinity_test.go
@@ -19,19 +19,19 @@
 	return r
 }
 
-// homes returns the target of one request for each of some objects on idle targets.
-func homes(t *testing.T, ts []Target, objects int) []string {
+// preferredTargets returns the target of one request for each of some objects on idle targets.
+func preferredTargets(t *testing.T, ts []Target, objects int) []string {
 	t.Helper()
 	d := New(0, 1)
 	d.SetTargets(0, ts)
-	homes := make([]string, objects)
-	for i := range homes {
+	preferred := make([]string, objects)
+	for i := range preferred {
 		o := d.Admit(0, keyed(fmt.Sprint(i), i))
 		require.Equal(t, ReasonAffinity, o.Reason)
-		homes[i] = o.Target
+		preferred[i] = o.Target
 		d.Done(0, o.ID, o.Target, Abandoned, 0)
 	}
-	return homes
+	return preferred
 }
 
 // TestOnlyKeysOfChangedTargetsMove guards against targets that lose what they hold of other objects
@@ -40,21 +40,21 @@
 func TestOnlyKeysOfChangedTargetsMove(t *testing.T) {
 	const objects = 20_000
 	list := targets(37, 6)
-	before := homes(t, list[:36], objects)
-	left := homes(t, slices.Delete(slices.Clone(list[:36]), 7, 8), objects)
-	joined := homes(t, list, objects)
+	before := preferredTargets(t, list[:36], objects)
+	left := preferredTargets(t, slices.Delete(slices.Clone(list[:36]), 7, 8), objects)
+	joined := preferredTargets(t, list, objects)
 	reordered := slices.Clone(list[:36])
 	slices.Reverse(reordered)
-	assert.Equal(t, before, homes(t, reordered, objects))
+	assert.Equal(t, before, preferredTargets(t, reordered, objects))
 	movedToNew := 0
 	newHomes := make(map[string]bool)
-	for i, home := range before {
-		if home == "t7" {
+	for i, preferred := range before {
+		if preferred == "t7" {
 			newHomes[left[i]] = true
 		} else {
-			require.Equal(t, home, left[i], "object %d", i)
+			require.Equal(t, preferred, left[i], "object %d", i)
 		}
-		if joined[i] != home {
+		if joined[i] != preferred {
 			require.Equal(t, "t36", joined[i], "object %d", i)
 			movedToNew++
 		}
@@ -73,8 +73,8 @@
 		list[i].Slots = slots
 	}
 	perTarget := make(map[string]float64)
-	for _, home := range homes(t, list, objects) {
-		perTarget[home]++
+	for _, preferred := range preferredTargets(t, list, objects) {
+		perTarget[preferred]++
 	}
 	for _, target := range list {
 		expected := float64(objects) * float64(target.Slots) / 24
@@ -135,7 +135,7 @@
 // one object; the other targets are idle.
 func TestOverruledTargets(t *testing.T) {
 	const now = time.Minute
-	home := homes(t, targets(6, 6), 1)[0]
+	preferred := preferredTargets(t, targets(6, 6), 1)[0]
 	for name, overrule := range map[string]func(d *Dispatcher, list []Target, t *target, r *Request){
 		"over its bound": func(_ *Dispatcher, _ []Target, t *target, _ *Request) { t.outstanding = 2 },
 		"slow": func(_ *Dispatcher, _ []Target, t *target, _ *Request) {
@@ -177,20 +177,20 @@
 			other.stats = targetStats{samples: minSamples, unitTime: 0.1, updatedAt: now}
 		}
 		r := keyed("r", 0)
-		overrule(d, list, d.targets[home], &r)
+		overrule(d, list, d.targets[preferred], &r)
 		o := d.Admit(now, r)
-		assert.NotEqual(t, home, o.Target, name)
+		assert.NotEqual(t, preferred, o.Target, name)
 		assert.Contains(t, o.Reason, "affinity", name)
 		again := d.Admit(now, r)
 		assert.Equal(t, o.Target, again.Target, "%s: the next target of the key is stable", name)
 		d.Done(now, "r", again.Target, Abandoned, 0)
-		if t := d.targets[home]; name == "over its bound" {
+		if t := d.targets[preferred]; name == "over its bound" {
 			t.outstanding = 0
 		}
 		list = targets(6, 6)
 		d.SetTargets(now+20*time.Second, list)
 		o = d.Admit(now+20*time.Second, keyed("later", 0))
-		assert.Equal(t, home, o.Target, name)
+		assert.Equal(t, preferred, o.Target, name)
 		assert.Equal(t, ReasonAffinity, o.Reason, name)
 	}
 }
@@ -200,14 +200,14 @@
 func TestQuietServiceKeepsObjects(t *testing.T) {
 	d := New(0, 1)
 	d.SetTargets(0, targets(3, 1))
-	home := homes(t, targets(3, 1), 1)[0]
+	preferred := preferredTargets(t, targets(3, 1), 1)[0]
 	for i := range 100 {
 		now := time.Duration(i) * time.Second
 		d.Tick(now)
 		r := keyed(fmt.Sprint(i), 0)
 		r.Entry = fmt.Sprint("entry ", i%5)
 		o := d.Admit(now, r)
-		require.Equal(t, home, o.Target, "request %d", i)
+		require.Equal(t, preferred, o.Target, "request %d", i)
 		d.Done(now+50*time.Millisecond, o.ID, o.Target, Completed, 1)
 	}
 }
--- a/server/ledger/batcher.go
+++ b/server/ledger/batcher.go
@@ -52,8 +52,8 @@
 	return &batcher{quorum: q, log: log, queue: make(chan operation, batchQueueSize)}
 }
 
-// add queues an operation. If the queue is full, a reservation fails, and a settlement is
-// dropped and not acknowledged; the entry repeats it.
+// add queues an operation. If the queue is full, it is dropped and its onOutcome, if any, gets an
+// error: a reservation fails, and the entry repeats a settlement.
 func (b *batcher) add(op operation) {
 	select {
 	case b.queue <- op:
