--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -189,17 +190,25 @@
 	x.observeLeaving(incarnationOf(grant), info.Leaving)
 	x.observeLimit(info)
 	x.observeCold(info)
+	result, reusable, err = x.handleResponse(c, response, info, sendingAt)
+	return result, info, reusable, err
+}
+
+// handleResponse relays a response, or drops one which states that the request did not run. The
+// request was sent at the time sendingAt of the boot clock. reusable reports whether c may be used
+// for another request.
+func (x *exchange) handleResponse(c *conn, response *http.Response, info ResponseInfo, sendingAt time.Duration) (result dispatch.Result, reusable bool, err error) {
 	reusable = !response.Close
 	if info.NotRun {
 		x.unanswered = false
 		err = c.discard(response.Body)
 		if response.StatusCode == http.StatusMisdirectedRequest {
-			return dispatch.WrongTarget, info, false, err
+			return dispatch.WrongTarget, false, err
 		}
-		return dispatch.NotRun, info, reusable && err == nil, nil
+		return dispatch.NotRun, reusable && err == nil, nil
 	}
 	if !info.Signed && response.StatusCode < http.StatusMultipleChoices {
-		return dispatch.Broken, info, false, errUnsigned
+		return dispatch.Broken, false, errUnsigned
 	}
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
 		x.streamSentAt = sendingAt
@@ -208,7 +217,7 @@
 	} else {
 		result, err = x.relayBody(response)
 	}
-	return result, info, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
+	return result, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
 // observeLimit records the rate limit that the target's response states. It does not wait
--- a/server/ledger/doubts.go
+++ b/server/ledger/doubts.go
@@ -55,7 +55,7 @@
 	// time of the latest break. A connection that was opened before since and serves after
 	// last shows that the process is the same.
 	since, last time.Duration
-	// settled is set once the leader was told so.
+	// settled is set once the leader was told that the process is the same.
 	settled bool
 }
 
@@ -68,7 +68,7 @@
 }
 
 // add records a break that a request met which was granted at the time since. It reports whether
-// the leader should hear of it, if similar reports are left out that follow each other quickly.
+// the leader has to be told: not if an earlier one, no longer ago than refusalInterval, is not settled.
 func (k *knownBreaks) add(i catalog.Incarnation, since, now time.Duration) bool {
 	known := k.byIncarnation[i]
 	if known == nil {
--- a/server/registry/watch.go
+++ b/server/registry/watch.go
@@ -35,8 +35,8 @@
 	return response, nil
 }
 
-// members returns the members, their digest and the number of entries. They are needed for each watch, so a
-// computed list is reused for membersValidity.
+// members returns the members, their digest and the number of entries. They are needed for each
+// watch, so a computed list is reused for membersValidity.
 func (g *Registry) members() cachedMembers {
 	g.mu.Lock()
 	cached := g.cachedMembers
