--- a/coord/dispatch/affinity.go
+++ b/coord/dispatch/affinity.go
@@ -118,7 +118,7 @@
 	}
 	if n > 0 {
 		b.running = affinityLoadFactor * float64(running) / float64(slots)
-		// One more grant than the mean is chance.
+		// A difference of one grant from the mean may be chance.
 		b.recent = affinityLoadFactor * (recent/float64(n) + weight*float64(n)/float64(slots))
 	}
 	return b
--- a/coord/dispatch/connections.go
+++ b/coord/dispatch/connections.go
@@ -199,7 +199,7 @@
 		for _, t := range targets {
 			slots = max(slots, t.Slots)
 		}
-		// One more grant than the mean is chance.
+		// A difference of one grant from the mean may be chance.
 		grant := c.loadWeight(now) / float64(max(slots, 1))
 		l.value = (meanLoad(now, targets) + grant) * maxPreferredLoad
 		l.validUntil = now + loadLimitValidity
--- a/server/ledger/link.go
+++ b/server/ledger/link.go
@@ -46,7 +46,7 @@
 	statedAt    time.Duration
 	// statedRevision is the revision of the latest catalogRevision message; 0 before the first.
 	statedRevision uint64
-	// entryID identifies the entry's process, and acknowledges is set if it gets acknowledgements.
+	// entryID is settlementList.Entry, and acknowledges is set if the entry gets acknowledgements.
 	// Both are protected by the host's mu.
 	entryID      string
 	acknowledges bool
