--- a/server/forward/pool.go
+++ b/server/forward/pool.go
@@ -107,7 +107,7 @@
 }
 
 // takeOlder removes and returns an idle connection to the target's address that was opened before
-// a time of the boot clock, or nil. Whoever responds on it is the process that served there at
+// a time of the boot clock, or nil. The process that responds on it is the one that served there at
 // that time. A connection to another address may lead to an earlier incarnation that still runs.
 func (p *connPool) takeOlder(target, address string, before time.Duration, requestID string) *conn {
 	p.mu.Lock()
