--- a/server/ledger/doubts.go
+++ b/server/ledger/doubts.go
@@ -28,7 +28,7 @@
 	// heartbeatPollInterval is the time between two questions to control about the heartbeats of
 	// targets in doubt. Targets send one in about 1.2 s.
 	heartbeatPollInterval = 300 * time.Millisecond
-	// maxAgeUnheard is how long a doubt lasts if all control VMs are of earlier builds, which do
+	// maxAgeUnheard is how long a doubt lasts if all control VMs are of earlier releases, which do
 	// not say what they heard: three heartbeats and their delay.
 	maxAgeUnheard = 5 * time.Second
 )
@@ -55,7 +55,7 @@
 	// time of the latest break. A connection that was opened before since and serves after
 	// last shows that the process is the same.
 	since, last time.Duration
-	// settled is set once the leader was told so.
+	// settled is set once the leader was told that the process is the same.
 	settled bool
 }
 
@@ -68,7 +68,7 @@
 }
 
 // add records a break that a request met which was granted at the time since. It reports whether
-// the leader should hear of it, if similar reports are left out that follow each other quickly.
+// the leader has to be told: not if an earlier one, no longer ago than refusalInterval, is not settled.
 func (k *knownBreaks) add(i catalog.Incarnation, since, now time.Duration) bool {
 	known := k.byIncarnation[i]
 	if known == nil {
@@ -187,7 +187,7 @@
 func (l *link) reporter() string { return l.conn.RemoteAddr().String() }
 
 // doubtLosses handles the lost responses among which connections broke off. Entries of earlier
-// builds report only these. The caller holds h.mu.
+// releases report only these. The caller holds h.mu.
 func (h *Host) doubtLosses(reporter string, losses []LossReport) {
 	for _, l := range losses {
 		if l.Kind == quarantine.Disconnected {
