--- a/server/ledger/doubts.go
+++ b/server/ledger/doubts.go
@@ -51,6 +51,8 @@
 // knownBreak describes the breaks of an entry's connections to one incarnation. Its times are
 // on the boot clock.
 type knownBreak struct {
+	// reportedAt is when the leader was last told.
+	reportedAt time.Duration
 	// since is when the first of the requests was granted that met the breaks, and last the
 	// time of the latest break. A connection that was opened before since and serves after
 	// last shows that the process is the same.
@@ -68,7 +70,8 @@
 }
 
 // add records a break that a request met which was granted at the time since. It reports whether
-// the leader has to be told: not if an earlier one, no longer ago than refusalInterval, is not settled.
+// the leader has to be told: not if it was told of an earlier one, no longer ago than refusalInterval,
+// that is not settled.
 func (k *knownBreaks) add(i catalog.Incarnation, since, now time.Duration) bool {
 	known := k.byIncarnation[i]
 	if known == nil {
@@ -82,7 +85,10 @@
 		known = &knownBreak{settled: true}
 		k.byIncarnation[i] = known
 	}
-	fresh := known.settled || now >= known.last+refusalInterval
+	fresh := known.settled || now >= known.reportedAt+refusalInterval
+	if fresh {
+		known.reportedAt = now
+	}
 	if known.settled {
 		known.settled, known.since = false, since
 		k.open.Add(1)
--- a/server/ledger/doubts_test.go
+++ b/server/ledger/doubts_test.go
@@ -272,3 +272,16 @@
 	assert.False(t, c.InDoubt(doubted))
 	assert.Equal(t, "t", outcomeOf(t, c, streamFor("again", "first")))
 }
+
+// TestFrequentRefusalsAreReported guards against a leader that ends a doubt by heartbeats of an
+// ended process, because refused connections that follow each other quickly are not reported again.
+func TestFrequentRefusalsAreReported(t *testing.T) {
+	var k knownBreaks
+	reports := 0
+	for at := time.Hour; at < time.Hour+10*refusalInterval; at += refusalInterval / 2 {
+		if k.add(doubted, at, at) {
+			reports++
+		}
+	}
+	assert.Equal(t, 10, reports)
+}
--- a/server/registry/evacuate.go
+++ b/server/registry/evacuate.go
@@ -59,11 +59,12 @@
 // maxBehind bounds the VMs that a response names.
 const maxBehind = 64
 
-// recordEvacuations records which revision of the evacuated data centres a VM holds.
-func (g *Registry) recordEvacuations(node string, revision uint64) {
+// recordEvacuations records which revision of the evacuated data centres a VM holds. A late watch
+// of an earlier incarnation says nothing about the present one.
+func (g *Registry) recordEvacuations(node string, started int64, revision uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if report := g.reports[node]; report != nil {
+	if report := g.reports[node]; report != nil && report.Started == started {
 		report.evacuations = max(report.evacuations, revision)
 	}
 }
--- a/server/registry/watch.go
+++ b/server/registry/watch.go
@@ -20,7 +20,7 @@
 	} else if !g.refreshReport(r.Node, r.Started) {
 		return WatchResponse{Unknown: true}, nil
 	}
-	g.recordEvacuations(r.Node, r.Evacuations)
+	g.recordEvacuations(r.Node, r.Started, r.Evacuations)
 	timeout := min(time.Duration(r.WaitMS)*time.Millisecond, g.watchTimeout())
 	revision := g.awaitRevision(ctx, r.Known, timeout)
 	response := WatchResponse{Revision: revision, Evacuations: g.options.Machine.evacuationRevision()}
