emulator: the test of the graceful stop waits for the first announcement

The test stopped the engine when a request ran there, which may be before the engine has announced itself on a busy machine. The check is the same. 40 race runs beside load pass.

--- a/server/emulator/lifecycle_test.go
+++ b/server/emulator/lifecycle_test.go
@@ -63,6 +63,8 @@
 		response <- body
 	}()
 	require.Eventually(t, func() bool { return e.Load().Running == 1 }, time.Second, time.Millisecond)
+	// An engine that stops before it has announced itself starts with the announcement that it leaves.
+	require.Eventually(t, func() bool { announcements, _ := f.received(); return len(announcements) >= 1 }, 10*time.Second, time.Millisecond)
 	require.NoError(t, stop())
 	require.Contains(t, <-response, Completion(r))
 	announcements, _ := f.received()
