forward: state how the end of a response shows

Change: framing, event_stream and, for callers of HTTP/1.0, caller_http in event=request; counter forward_responses{framing,event_stream}. No response is treated differently.

--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -11,6 +11,8 @@
 
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/integrity"
+	"hemlockvale.dev/server/metrics"
 )
 
 // record collects the data of the request's log line.
@@ -34,6 +36,10 @@
 	sends int
 	// rateLimit is the rate limit that the last response stated; nil if it stated none.
 	rateLimit *float64
+	// framing is that of the last response that was relayed or dropped, and eventStream is set if
+	// it stated that it is an event stream.
+	framing     integrity.Framing
+	eventStream bool
 	// aborted is set if finish must close the caller's connection.
 	aborted bool
 	// targetErr is the latest error at a target.
@@ -55,6 +61,13 @@
 	return strings.Join(texts, ",")
 }
 
+// observeFraming records how the end of a response shows.
+func (x *exchange) observeFraming(r *http.Response) {
+	x.record.framing, x.record.eventStream = integrity.FramingOf(r), integrity.IsEventStream(r)
+	name := metrics.Name("forward_responses", "framing", string(x.record.framing), "event_stream", strconv.FormatBool(x.record.eventStream))
+	gometrics.GetOrRegisterCounter(name, x.entry.options.Metrics).Inc(1)
+}
+
 // finish writes the request's log line and updates the metrics. If the response is
 // incomplete, it panics with http.ErrAbortHandler, so that net/http closes the caller's
 // connection.
@@ -98,6 +111,13 @@
 	if x.offer != nil {
 		fields["relayed_from"] = x.offer.From
 	}
+	if x.record.framing != "" {
+		fields["framing"], fields["event_stream"] = x.record.framing, x.record.eventStream
+	}
+	if !x.request.ProtoAtLeast(1, 1) {
+		// Such a caller sees the end of most responses by the end of its connection.
+		fields["caller_http"] = x.request.Proto
+	}
 	if x.record.rateLimit != nil {
 		fields["rate_limit"] = *x.record.rateLimit
 	}
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -125,6 +125,7 @@
 		return errors.Join(errEntryLost, err)
 	}
 	x.takeLeaving(response.Header)
+	x.observeFraming(response)
 	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
 		return x.copyEvents(response)
 	}
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -199,6 +199,7 @@
 // for another request.
 func (x *exchange) handleResponse(c *conn, response *http.Response, info ResponseInfo, sendingAt time.Duration) (result dispatch.Result, reusable bool, err error) {
 	reusable = !response.Close
+	x.observeFraming(response)
 	if info.NotRun {
 		x.unanswered = false
 		err = c.discard(response.Body)
