forward: a stream without an event that ends with its connection is broken off

Callers saw a complete stream without any event (Content-Length: 0), or one that ended with its last chunk although events were missing: its target had broken it off after the head of the response, or after that of the response with which the entry continued the stream.

Cause: a stream that ends between two events was taken for whole, however its end showed.

Change: a stream that ends with its connection needs an event with data that is new. It is broken otherwise, and is continued, placed again, or ended as incomplete, as any other one. A stream in chunks, or with a length, may still be empty: its target states the end.

--- a/server/forward/stream.go
+++ b/server/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/dispatch"
+	"hemlockvale.dev/server/integrity"
 )
 
 // heardInterval is the time after which an event counts again as a sign of its target.
@@ -36,7 +37,12 @@
 	data    []byte
 }
 
-var errEventTooLarge = errors.New("event is too large")
+var (
+	errEventTooLarge = errors.New("event is too large")
+	// errNoEvent is returned for a stream whose end shows by nothing but the end of its connection,
+	// before it has brought an event that is new.
+	errNoEvent = errors.New("stream ended with its connection before its first event")
+)
 
 // readEvent reads one whole event. It returns io.EOF if the stream ends between two
 // events, and io.ErrUnexpectedEOF if it ends inside of one. Events of more than
@@ -108,11 +114,14 @@
 	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
 	controller := http.NewResponseController(x.writer)
 	heardAt := time.Now()
-	for {
+	for hasNew := false; ; {
 		x.releaseEvent()
 		drainedAt := x.drainedAt(reader)
 		e, err := readEvent(reader, x.reserveEvent)
 		if errors.Is(err, io.EOF) {
+			if !hasNew && integrity.FramingOf(response) == integrity.Connection {
+				return dispatch.Broken, errNoEvent
+			}
 			if !x.responseStarted {
 				x.writeHeader(response)
 			}
@@ -137,6 +146,7 @@
 		if x.isDuplicate(e) {
 			continue
 		}
+		hasNew = hasNew || e.hasData
 		if x.origin == nil {
 			x.origin = &dispatch.Origin{Service: x.service.Name, Software: x.granted.Software}
 		}
