forward: a response that states that it is a stream is checked as one

Callers saw a complete response that ended inside an event: a stream with status 201, or one on a route whose kind is not streaming, was buffered and sent with the length of what had arrived.

Cause: what is a stream was decided by the kind of the route and status 200, not by the type that the response itself states.

Change: on streaming routes, any successful event stream is relayed event by event. On other routes it is still buffered, so that the request can be repeated, and integrity.Check rejects a body that ends inside an event, whatever its framing, or without an event if it ended with its connection. Responses of other entries are read in the same way. Encoded bodies are not looked into.

--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -11,7 +11,6 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/relay"
 )
@@ -126,7 +125,7 @@
 	}
 	x.takeLeaving(response.Header)
 	x.observeFraming(response)
-	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
+	if x.isStream(response) {
 		return x.copyEvents(response)
 	}
 	body, err := x.readResponse(response)
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -16,6 +16,7 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/coord/routing"
 	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/integrity"
 	ledgerhost "hemlockvale.dev/server/ledger"
 )
 
@@ -211,7 +212,7 @@
 	if !info.Signed && response.StatusCode < http.StatusMultipleChoices {
 		return dispatch.Broken, false, errUnsigned
 	}
-	if response.StatusCode == http.StatusOK && x.route.Kind == routing.Streaming {
+	if x.isStream(response) {
 		x.streamSentAt = sendingAt
 		result, err = x.relayStream(response)
 		x.streamed = result == dispatch.Completed
@@ -221,6 +222,16 @@
 	return result, reusable && err == nil && (result == dispatch.Completed || result == dispatch.Failed), err
 }
 
+// isStream reports whether a response is relayed event by event. On other routes, event streams
+// are buffered like any response, so that the request can be repeated until they are whole.
+func (x *exchange) isStream(r *http.Response) bool {
+	if x.route.Kind != routing.Streaming {
+		return false
+	}
+	isSuccess := r.StatusCode >= http.StatusOK && r.StatusCode < http.StatusMultipleChoices
+	return r.StatusCode == http.StatusOK || isSuccess && integrity.IsEventStream(r) && integrity.FramingOf(r) != integrity.NoBody
+}
+
 // observeLimit records the rate limit that the target's response states. It does not wait
 // for the end of the response, which may be a long stream.
 func (x *exchange) observeLimit(info ResponseInfo) {
@@ -314,12 +325,16 @@
 	return dispatch.Completed, nil
 }
 
-// readResponse reads the body of a response.
+// readResponse reads the body of a response. It returns an error if the body is not whole.
 func (x *exchange) readResponse(response *http.Response) (net.Buffers, error) {
-	if response.ContentLength == 0 {
+	if integrity.FramingOf(response) == integrity.NoBody {
 		return nil, nil
 	}
-	return readSteps(response.Body, response.ContentLength, maxResponseBytes, x.reserveResponse)
+	body, err := readSteps(response.Body, response.ContentLength, maxResponseBytes, x.reserveResponse)
+	if err != nil {
+		return nil, err
+	}
+	return body, integrity.Check(response, body)
 }
 
 // writeResponse writes a body to the caller. The bytes of a long body are released as the
