forward: an incomplete response without a length or chunks ends with a reset

Callers of HTTP/1.0 saw an ordinary end of the connection, which is the end of a complete response to them, when their stream broke off.

Cause: one way of ending an incomplete response, closing the connection without the last chunk, was used whatever the framing towards the caller was. HTTP/1.0 has no chunks.

Where neither a length nor chunks show the end, the connection is reset. Responses that are buffered state their length now, to callers of HTTP/1.0 as well: they too see if the entry ends meanwhile.

--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -330,9 +330,3 @@
 		x.respondError(http.StatusServiceUnavailable, "no_target", unavailableRetryAfter)
 	}
 }
-
-// abort makes finish close the caller's connection, so that the caller sees an
-// incomplete response.
-func (x *exchange) abort(reason string) {
-	x.record.reason, x.record.aborted = reason, true
-}
--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -69,14 +69,13 @@
 }
 
 // finish writes the request's log line and updates the metrics. If the response is
-// incomplete, it panics with http.ErrAbortHandler, so that net/http closes the caller's
-// connection.
+// incomplete, it ends it as such, which panics.
 func (x *exchange) finish() {
 	elapsed := bootclock.Now() - x.startedAt
 	x.writeLog(elapsed)
 	x.updateMetrics(elapsed)
 	if x.record.aborted {
-		panic(http.ErrAbortHandler)
+		x.endIncomplete()
 	}
 }
 
--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -132,10 +132,7 @@
 	if err != nil {
 		return errors.Join(errEntryLost, err)
 	}
-	x.writeHeader(response)
-	if err := x.writeResponse(body); err != nil {
-		x.noteCallerLost(err)
-	}
+	x.writeBuffered(response, body)
 	return nil
 }
 
--- a/server/forward/roundtrip.go
+++ b/server/forward/roundtrip.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/textproto"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -315,10 +316,7 @@
 	if x.responseStarted {
 		return dispatch.Broken, errors.New("target did not continue the stream")
 	}
-	x.writeHeader(response)
-	if err := x.writeResponse(body); err != nil {
-		x.noteCallerLost(err)
-	}
+	x.writeBuffered(response, body)
 	if response.StatusCode >= http.StatusInternalServerError {
 		return dispatch.Failed, nil
 	}
@@ -337,6 +335,18 @@
 	return body, integrity.Check(response, body)
 }
 
+// writeBuffered sends a response whose body has been read to its end. It states the length, with
+// which any caller sees if this process ends meanwhile.
+func (x *exchange) writeBuffered(response *http.Response, body net.Buffers) {
+	if integrity.FramingOf(response) != integrity.NoBody {
+		x.writer.Header().Set("Content-Length", strconv.Itoa(size(body)))
+	}
+	x.writeHeader(response)
+	if err := x.writeResponse(body); err != nil {
+		x.noteCallerLost(err)
+	}
+}
+
 // writeResponse writes a body to the caller. The bytes of a long body are released as the
 // caller reads.
 func (x *exchange) writeResponse(body net.Buffers) error {
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -216,6 +216,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the writing side, so that a peer that still sends can read the last response.
 // net/http uses it if it is there.
 func (c *conn) CloseWrite() error {
--- a/server/progress/progress.go
+++ b/server/progress/progress.go
@@ -88,7 +88,7 @@
 		if c.onStall != nil {
 			c.onStall()
 		}
-		return written, errors.Join(fmt.Errorf("%w for %v", ErrStalled, c.timeout), c.reset())
+		return written, errors.Join(fmt.Errorf("%w for %v", ErrStalled, c.timeout), Reset(c))
 	}
 }
 
@@ -101,13 +101,25 @@
 	return nil
 }
 
-// reset closes the connection and drops the bytes that the kernel still holds for the peer.
-func (c *Conn) reset() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Reset closes a connection and drops the bytes that the kernel still holds for the peer, which
+// sees an error instead of an ordinary end. Layers above TCP are passed if they have NetConn.
+func Reset(c net.Conn) error {
+	lowest := c
+	for {
+		layer, ok := lowest.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		lowest = layer.NetConn()
+	}
+	if tcp, ok := lowest.(*net.TCPConn); ok {
 		// An error means that the connection has failed already.
 		_ = tcp.SetLinger(0)
 	}
-	return c.Conn.Close()
+	return c.Close()
 }
 
 // unacknowledged returns the bytes that were written and that the peer has not acknowledged; 0
