entry: a body that was broken off is no success

Callers of the product's own interface got a whole response, and their retries its record, for a body that its target cut: JSON without a length whose connection ended, or an event stream of a plain service that ended inside an event.

Change: integrity.Check for the bodies that are read to their end.

--- a/server/entry/odd_response_test.go
+++ b/server/entry/odd_response_test.go
@@ -297,3 +297,27 @@
 		}
 	}
 }
+
+// TestBrokenOffBodyIsNoSuccess guards against a body that its target cut by ending the connection,
+// or inside an event, and that is recorded and sent to the caller as a whole response.
+func TestBrokenOffBodyIsNoSuccess(t *testing.T) {
+	for name, response := range map[string]string{
+		"JSON":                        "Content-Type: application/json\r\n\r\n{\"a\": 1",
+		"JSON without a value":        "Content-Type: application/json\r\n\r\n",
+		"event stream":                "Content-Type: text/event-stream\r\n\r\ndata: x\n\ndata: y",
+		"event stream with a length":  "Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\ndata: x",
+		"event stream without events": "Content-Type: text/event-stream\r\n\r\n",
+	} {
+		for _, path := range []string{"/services/app/status", chatPath} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				f := newFixture(t)
+				f.targets.list = []fakeTarget{startScript(t, func(conn *net.TCPConn, r *bufio.Reader) {
+					readRequest(r)
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+response)
+				})}
+				got := f.sendAuthorized(methodOf(path), path, chatBody)
+				assert.Equal(t, ExecutedUnknown, f.decodeProblem(got).Executed)
+			})
+		}
+	}
+}
--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hemlockvale.dev/coord/retry"
+	"hemlockvale.dev/server/integrity"
 )
 
 const (
@@ -37,6 +38,9 @@
 // errSilent is the cancellation cause of an exchange that reached silenceTimeout.
 var errSilent = errors.New("the connection to the target delivered nothing within the time limit")
 
+// errResponseTooLarge is the error of an exchange whose response exceeds its limit.
+var errResponseTooLarge = errors.New("the response exceeds the size limit")
+
 // targetClient sends requests to targets. It is safe for concurrent use.
 type targetClient struct {
 	// pooled reuses connections. It is used for idempotent requests.
@@ -182,13 +186,17 @@
 	return n, err
 }
 
-// readAll reads the whole body. It fails if the body is longer than limit bytes.
+// readAll reads the whole body. It fails if the body is longer than limit bytes, or if its format
+// shows that it was broken off.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(x, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errors.New("the response exceeds the size limit")
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errResponseTooLarge
 	}
-	return body, err
+	return body, integrity.Check(x.response, net.Buffers{body})
 }
 
 // close ends the exchange. It closes the connection if the response was not read to its
