forward: a relayed response must state its end

Entries frame what they pass to one another, in chunks or with a length, so that the end of an entry's process shows.

Test: TestRelayedResponseWithoutFraming failed before.

--- a/server/forward/relay.go
+++ b/server/forward/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/server/bootclock"
+	"hemlockvale.dev/server/integrity"
 	"hemlockvale.dev/server/relay"
 )
 
@@ -30,8 +31,13 @@
 	errTooManyOffers = errors.New("too many requests of other entries are in progress")
 )
 
-// errEntryLost is returned for a response of another entry that was lost.
-var errEntryLost = errors.New("response of the other entry was lost")
+var (
+	// errEntryLost is returned for a response of another entry that was lost.
+	errEntryLost = errors.New("response of the other entry was lost")
+	// errUnframed is returned for a response of another entry that ends with its connection, and
+	// so would also end with the process of the entry.
+	errUnframed = errors.New("response of the other entry has neither a length nor chunks")
+)
 
 // AcceptRelay decides about a request that another entry offers. An error is the reason to
 // decline it.
@@ -125,6 +131,9 @@
 	}
 	x.takeLeaving(response.Header)
 	x.observeFraming(response)
+	if x.record.framing == integrity.Connection {
+		return errors.Join(errEntryLost, errUnframed)
+	}
 	if x.isStream(response) {
 		return x.copyEvents(response)
 	}
--- a/server/forward/relay_test.go
+++ b/server/forward/relay_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -21,8 +23,17 @@
 // the test ends. It calls observe for each connection.
 func serveRelays(t *testing.T, listener net.Listener, e *Entry, accept func(relay.Offer) error, observe func(net.Conn)) {
 	t.Helper()
-	relays := relay.NewServer(e, accept, e.options.Log)
-	server := rpc.NewServer(e.options.Log)
+	serveOffers(t, listener, e, accept, observe)
+}
+
+// serveOffers serves the requests that entries offer to a handler, if accept takes them, until the
+// test ends. It calls observe for each connection.
+func serveOffers(t *testing.T, listener net.Listener, handler http.Handler, accept func(relay.Offer) error, observe func(net.Conn)) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	relays := relay.NewServer(handler, accept, logrus.NewEntry(log))
+	server := rpc.NewServer(logrus.NewEntry(log))
 	server.HandleConn(relay.Preface, func(c net.Conn, r *bufio.Reader) {
 		observe(c)
 		relays.HandleConn(c, r)
@@ -84,3 +95,29 @@
 	defer response.Body.Close()
 	return response.StatusCode
 }
+
+// TestRelayedResponseWithoutFraming guards against a relayed response that is taken for complete
+// because the process of the other entry ended between two events, or inside a body.
+func TestRelayedResponseWithoutFraming(t *testing.T) {
+	for _, c := range []struct{ path, response string }{
+		{"/stream/x", eventsHead + eventText(1)},
+		{"/once/x", opaqueHead + "text"},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		unframed := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if assert.NoError(t, err) {
+				_, _ = io.WriteString(conn, c.response)
+				conn.Close()
+			}
+		})
+		serveOffers(t, listener, unframed, func(relay.Offer) error { return nil }, func(net.Conn) {})
+		l := &testLedger{targets: slices.Repeat([]string{"127.0.0.1:1"}, maxPlacements)}
+		options := testOptions(l, true, newTestHistories(), &testView{})
+		options.Peers = func(context.Context) ([]string, error) { return []string{listener.Addr().String()}, nil }
+		server := startServer(t, New(options))
+		got := callWith(t, server, "1.1", c.path)
+		assert.False(t, got.complete && got.status == http.StatusOK, "%s: %+v", c.path, got)
+	}
+}
