control: a forwarded response that breaks off is aborted

Operators got a complete response, with a length, of which the leader had sent only a part: the follower that forwarded it ignored the failed copy, and net/http then ended its response. The comment there promised a truncated body.

Test: TestForwardedResponseThatBreaksOff failed before.

--- a/server/control/fault_test.go
+++ b/server/control/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -277,3 +278,27 @@
 	require.Equal(t, executedUnknown, request(t, s, "DELETE", "/organisations/acme", "").Executed)
 	require.Less(t, time.Since(start), forwardTimeout/2)
 }
+
+// TestForwardedResponseThatBreaksOff guards against a response of the leader that was broken off
+// and that reaches the operator as complete.
+func TestForwardedResponseThatBreaksOff(t *testing.T) {
+	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"organisations": [`)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer leader.Close()
+	follower, f, s, _ := newControl(t)
+	f.leader = "c2"
+	follower.o.Settings.Name = "c9"
+	follower.o.Settings.HTTPAddresses["c2"] = strings.TrimPrefix(leader.URL, "http://")
+	r, err := http.NewRequest(http.MethodGet, s.URL+"/v1/admin/status", nil)
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	response, err := http.DefaultClient.Do(r)
+	if err == nil {
+		defer response.Body.Close()
+		_, err = io.ReadAll(response.Body)
+	}
+	require.Error(t, err)
+}
--- a/server/control/forward.go
+++ b/server/control/forward.go
@@ -65,8 +65,10 @@
 		}
 	}
 	w.WriteHeader(response.StatusCode)
-	// The status is already sent, so the operator sees a failed copy as a truncated body.
-	_, _ = io.Copy(w, response.Body)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		// The status is already sent. The end of the handler would complete the response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // forwardTo sends the request to the leader with the given name and address.
