entry: the stream of an engine is bounded

Operators of a system like this reported targets that send bytes without end, until the process that called them ran out of memory. The product's own interface had this fault: an event that never ends, or chunks without end, also after the last one, were kept until the time limit of the call.

Change: the limit of a response (16 MiB) holds for streams as well, and that of a line (1 MiB) for the data of an event. What exceeds them counts as no answer, not as a crash of the target.

--- a/server/entry/chatrun.go
+++ b/server/entry/chatrun.go
@@ -195,7 +195,7 @@
 // receiveUnstreamed reads a response that is not an event stream. A server error counts
 // as a failed attempt; any other response is relayed unchanged.
 func (run *chatRun) receiveUnstreamed(x *exchange) attempt {
-	body, err := x.readAll(maxResponseBytes)
+	body, err := x.readAll()
 	if err != nil {
 		return attempt{result: x.classifyError(err, true), err: err}
 	}
--- a/server/entry/service.go
+++ b/server/entry/service.go
@@ -20,8 +20,8 @@
 
 const (
 	kindEngine = "engine"
-	// maxResponseBytes limits a response without streaming, which is kept in memory until
-	// the outcome is recorded.
+	// maxResponseBytes limits a response, whose content is kept in memory until the outcome is
+	// recorded.
 	maxResponseBytes = 16 << 20
 	chatPath         = "/v1/chat/completions"
 	// responseWriteTimeout limits the time to write a whole response to a slow caller.
@@ -312,7 +312,7 @@
 	if result, err := x.checkResponse(c.id, c.nonIdempotent); err != nil {
 		return nil, nil, attempt{result: result, err: err}
 	}
-	body, err := x.readAll(maxResponseBytes)
+	body, err := x.readAll()
 	if err != nil {
 		return nil, nil, attempt{result: x.classifyError(err, true), err: err}
 	}
--- a/server/entry/sse.go
+++ b/server/entry/sse.go
@@ -13,7 +13,7 @@
 	contentTypeSSE  = "text/event-stream"
 	contentTypeJSON = "application/json"
 	doneMarker      = "[DONE]"
-	// maxEventBytes limits one line of a target's event stream.
+	// maxEventBytes limits one line of a target's event stream, and the data of one event.
 	maxEventBytes = 1 << 20
 )
 
@@ -44,6 +44,9 @@
 				data = append(data, '\n')
 			}
 			data = append(data, bytes.TrimPrefix(line[len("data:"):], []byte(" "))...)
+			if len(data) > maxEventBytes {
+				return nil, errResponseTooLarge
+			}
 		}
 	}
 	if err := r.scanner.Err(); err != nil {
--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -102,6 +102,8 @@
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	silenceTimer *time.Timer
+	// received is the number of bytes of the body that were read.
+	received int64
 }
 
 // open sends the request and waits for the header of the response. If it fails, the
@@ -177,25 +179,27 @@
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// Read reads from the body of the response and restarts the silence timer.
+// Read reads from the body of the response and restarts the silence timer. It returns
+// errResponseTooLarge once the body exceeds maxResponseBytes.
 func (x *exchange) Read(p []byte) (int, error) {
+	if x.received > maxResponseBytes {
+		return 0, errResponseTooLarge
+	}
 	n, err := x.response.Body.Read(p)
+	x.received += int64(n)
 	if n > 0 && x.silenceTimer != nil {
 		x.silenceTimer.Reset(silenceTimeout)
 	}
 	return n, err
 }
 
-// readAll reads the whole body. It fails if the body is longer than limit bytes, or if its format
+// readAll reads the whole body. It fails if the body exceeds maxResponseBytes, or if its format
 // shows that it was broken off.
-func (x *exchange) readAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x, limit+1))
+func (x *exchange) readAll() ([]byte, error) {
+	body, err := io.ReadAll(x)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
-		return nil, errResponseTooLarge
-	}
 	return body, integrity.Check(x.response, net.Buffers{body})
 }
 
@@ -217,7 +221,7 @@
 	cause := context.Cause(x.ctx)
 	var netErr net.Error
 	switch {
-	case errors.Is(cause, errSilent):
+	case errors.Is(cause, errSilent) || errors.Is(err, errResponseTooLarge):
 		return retry.NoAnswer
 	case cause != nil:
 		if !connected {
