forward: test of a stream of comments without end

One of the ways to send without end that had not been tried. No fault: the stream ends as incomplete at the time limit of its route, and its comments are not kept.

--- a/server/forward/endless_test.go
+++ b/server/forward/endless_test.go
@@ -99,3 +99,29 @@
 		})
 	}
 }
+
+// TestEndlessComments guards against a stream of comments that outlives the time limit of its
+// route, costs memory, or ends as complete.
+func TestEndlessComments(t *testing.T) {
+	address, closed := startEndlessTarget(t, eventsHead+eventText(1), ": x\n\n")
+	l := &testLedger{targets: []string{address}, refuseResumes: true}
+	server := startEntry(t, l, true)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/stream/x", nil)
+	require.NoError(t, err)
+	request.Header.Set("Id", "r")
+	request.Header.Set("Key", "k")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.Error(t, err, "complete")
+	runtime.ReadMemStats(&after)
+	assert.Less(t, int64(after.Sys)-int64(before.Sys), int64(maxEndlessGrowth))
+	select {
+	case <-closed:
+	case <-time.After(endlessAnswerTime):
+		t.Error("the connection to the target was not closed")
+	}
+}
