wal, quorum: a replica whose disk is full waits for room

Operators of a system like this reported disks that were full one after another, after which changes stayed unanswered.

Cause: any failed write made the log fail for good. But a write without room has stored nothing that was acknowledged, and its rest can be cut off.

Change: the log returns ErrFull, cuts the rest off before the next append, and removes temporary files that it could not complete. The replica repeats the write until there is room. To its peers it is unreachable meanwhile; requests are rejected at once, those in progress end with an unknown outcome, and it appears as one without a leader. This is as safe as a slow disk: what follows from a write has not been sent or applied. Failed syncs are fatal as before.

Ruled out: a restart of the replica inside the process, to which all roles hold references.

--- a/server/quorum/describe.go
+++ b/server/quorum/describe.go
@@ -94,9 +94,9 @@
 
 // replicaMetrics holds the metrics of a replica.
 type replicaMetrics struct {
-	term, commit, snapshot, leading, failed metrics.Gauge
-	elections, dropped                      metrics.Counter
-	sync, propose                           metrics.Timer
+	term, commit, snapshot, leading, failed, full metrics.Gauge
+	elections, dropped                            metrics.Counter
+	sync, propose                                 metrics.Timer
 }
 
 func newReplicaMetrics(r metrics.Registry) *replicaMetrics {
@@ -106,6 +106,7 @@
 		snapshot:  metrics.GetOrRegisterGauge("quorum.snapshot_index", r),
 		leading:   metrics.GetOrRegisterGauge("quorum.leading", r),
 		failed:    metrics.GetOrRegisterGauge("quorum.failed", r),
+		full:      metrics.GetOrRegisterGauge("quorum.disk_full", r),
 		elections: metrics.GetOrRegisterCounter("quorum.elections_won", r),
 		dropped:   metrics.GetOrRegisterCounter("quorum.messages_dropped", r),
 		sync:      metrics.GetOrRegisterTimer("quorum.sync", r),
--- a/server/quorum/loop.go
+++ b/server/quorum/loop.go
@@ -27,6 +27,8 @@
 // loopState is the state that only the goroutine of run accesses.
 type loopState struct {
 	applied uint64
+	// postponed holds the inputs that arrived while the disk was full and must not be lost.
+	postponed []input
 	// requests holds the waiters for Accepted, Rejected or ReadReady, by token.
 	requests map[uint64]*waiter
 	// proposals holds the waiters for the result of a command, by the log index of its entry.
@@ -69,7 +71,9 @@
 		case in := <-q.inputs:
 			effects = q.handleInputs(in)
 		}
-		if err := q.execute(effects); err != nil {
+		if err := q.execute(effects); errors.Is(err, errClosing) {
+			return
+		} else if err != nil {
 			q.fail(err)
 			return
 		}
@@ -106,7 +110,8 @@
 }
 
 // execute makes the writes of all effects durable and then executes the other effects in
-// order. It repeats this for the effects that result from them.
+// order. It repeats this for the effects that result from them, and for the inputs that were
+// postponed while the disk was full.
 func (q *Quorum) execute(effects []raft.Effect) error {
 	for len(effects) > 0 {
 		if err := q.persist(effects); err != nil {
@@ -120,7 +125,7 @@
 			}
 			followUps = append(followUps, followUp...)
 		}
-		effects = followUps
+		effects = append(followUps, q.handlePostponed()...)
 	}
 	q.metrics.update(q.node)
 	return nil
@@ -133,10 +138,12 @@
 		return nil
 	}
 	defer q.metrics.sync.UpdateSince(time.Now())
-	if combined.Snapshot != nil {
-		return q.store.SaveSnapshot(*combined.Snapshot, *combined.HardState, combined.Entries)
-	}
-	return q.store.Append(combined.HardState, combined.Entries)
+	return q.retryWhileFull(func() error {
+		if combined.Snapshot != nil {
+			return q.store.SaveSnapshot(*combined.Snapshot, *combined.HardState, combined.Entries)
+		}
+		return q.store.Append(combined.HardState, combined.Entries)
+	})
 }
 
 // executeEffect executes an effect whose preceding writes are durable. It returns the
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -14,8 +14,8 @@
 // replica with an empty disk therefore never forms a second cluster; it waits until it is
 // added as a voter, by an operator or by the leader (see MaintainMembership).
 //
-// After a failed write or sync, the replica neither votes nor acknowledges entries until
-// the process is restarted.
+// While its disk is full, a replica waits for room, and neither votes nor acknowledges
+// entries. After any other failed write or sync, it does so until the process is restarted.
 package quorum
 
 import (
@@ -45,6 +45,9 @@
 	// ErrStopped is joined to ErrNotLeader or ErrUnknownOutcome if the replica has been
 	// closed or has failed.
 	ErrStopped = errors.New("replica is stopped")
+	// ErrDiskFull is joined to ErrNotLeader or ErrUnknownOutcome if the disk of the replica is
+	// full.
+	ErrDiskFull = errors.New("disk of the replica is full")
 	// ErrTooLarge reports a proposal of more than MaxProposalBytes, which had no effect.
 	ErrTooLarge = errors.New("proposal is too large")
 	// ErrChangePending reports that another membership change is in progress.
--- a/server/quorum/quorum_test.go
+++ b/server/quorum/quorum_test.go
@@ -20,6 +20,7 @@
 
 	"hemlockvale.dev/coord/raft"
 	"hemlockvale.dev/server/rpc"
+	"hemlockvale.dev/server/wal"
 )
 
 // recorder is a state machine that records every command.
@@ -83,6 +84,8 @@
 	blocked map[string]bool
 	// failing holds the names of the replicas whose storage fails.
 	failing map[string]bool
+	// full holds the names of the replicas whose disk is full.
+	full map[string]bool
 	// unknown counts for each command how often propose repeated it because the outcome was
 	// unknown.
 	unknown map[string]int
@@ -90,19 +93,30 @@
 	joining map[string]bool
 }
 
-// faultyStorage is a storage whose appends fail while failing returns true.
+// faultyStorage is a storage whose appends fail while failing returns true, and whose writes have
+// no room while full returns true.
 type faultyStorage struct {
 	storage
-	failing func() bool
+	failing, full func() bool
 }
 
 func (f faultyStorage) Append(hardState *raft.HardState, entries []raft.Entry) error {
 	if f.failing() {
 		return errDisk
 	}
+	if f.full() {
+		return wal.ErrFull
+	}
 	return f.storage.Append(hardState, entries)
 }
 
+func (f faultyStorage) SaveSnapshot(s raft.Snapshot, hardState raft.HardState, entries []raft.Entry) error {
+	if f.full() {
+		return wal.ErrFull
+	}
+	return f.storage.SaveSnapshot(s, hardState, entries)
+}
+
 var errDisk = errors.New("injected disk failure")
 
 func (c *cluster) isSet(flags map[string]bool, name string) bool {
@@ -118,7 +132,7 @@
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), peers: map[string]string{}, running: map[string]*replica{}, blocked: map[string]bool{}, failing: map[string]bool{}, unknown: map[string]int{}}
+	c := &cluster{t: t, dir: t.TempDir(), peers: map[string]string{}, running: map[string]*replica{}, blocked: map[string]bool{}, failing: map[string]bool{}, full: map[string]bool{}, unknown: map[string]int{}}
 	for _, name := range names {
 		c.peers[name] = c.reserveAddress()
 	}
@@ -173,7 +187,7 @@
 		Name: name, DataDir: filepath.Join(c.dir, name), RPCAddress: c.peers[name], Peers: peers, Joining: c.joining[name],
 		StateMachine: r.state, Dial: dial, Raft: raft.Config{CompactAfter: 20, RetainEntries: 5, SnapshotChunkBytes: 64},
 		wrapStorage: func(s storage) storage {
-			return faultyStorage{s, func() bool { return c.isSet(c.failing, name) }}
+			return faultyStorage{s, func() bool { return c.isSet(c.failing, name) }, func() bool { return c.isSet(c.full, name) }}
 		},
 	})
 	require.NoError(c.t, err)
--- a/server/wal/files.go
+++ b/server/wal/files.go
@@ -101,14 +101,15 @@
 }
 
 // writeFile writes a complete file under a temporary name, syncs it and renames it. It
-// returns the open file, positioned at its end.
+// returns the open file, positioned at its end. If it fails, there is no file of that name, or
+// the previous one, and the room of the temporary one is free again.
 func (l *Log) writeFile(name string, data []byte) (*os.File, error) {
 	path := filepath.Join(l.dir, name)
 	f, err := os.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	_, err = f.Write(data)
+	_, err = l.write(f, data)
 	if err == nil {
 		err = l.sync(f)
 	}
@@ -116,8 +117,7 @@
 		err = os.Rename(path+temporarySuffix, path)
 	}
 	if err != nil {
-		_ = f.Close()
-		return nil, err
+		return nil, errors.Join(err, f.Close(), os.Remove(path+temporarySuffix))
 	}
 	return f, nil
 }
--- a/server/wal/segment.go
+++ b/server/wal/segment.go
@@ -145,11 +145,13 @@
 		return err
 	}
 	salt := binary.LittleEndian.Uint32(header[4:])
-	f, err := l.writeFile(segmentName(number), appendFrame(header, salt, record{checkpoint: &snapshot, hardState: &hardState, entries: entries}))
+	content := appendFrame(header, salt, record{checkpoint: &snapshot, hardState: &hardState, entries: entries})
+	f, err := l.writeFile(segmentName(number), content)
 	if err != nil {
 		return err
 	}
 	l.segment, l.segmentNumber, l.salt = f, number, salt
+	l.size, l.hasTail = int64(len(content)), false
 	return nil
 }
 
@@ -186,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	l.segment, l.segmentNumber, l.salt = f, number, d.salt
+	l.segment, l.segmentNumber, l.salt, l.size = f, number, d.salt, int64(d.valid)
 	if err := f.Truncate(int64(d.valid)); err != nil {
 		return err
 	}
--- a/server/wal/wal.go
+++ b/server/wal/wal.go
@@ -14,14 +14,18 @@
 // acknowledged data, and Open fails with a *CorruptionError. Damage to the last frame
 // cannot be distinguished from a torn write.
 //
-// After a failed write or sync the content of the file is unknown, because the kernel may
-// have dropped the dirty pages. From then on all operations of the log fail with
-// ErrFailed.
+// An operation that finds no room on the disk fails with ErrFull and may be repeated: what it
+// has written so far is cut off or removed, and nothing of it was acknowledged.
+//
+// After any other failed write, and after a failed sync, the content of the file is unknown,
+// because the kernel may have dropped the dirty pages. From then on all operations of the log
+// fail with ErrFailed.
 package wal
 
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -32,6 +36,9 @@
 // ErrFailed reports that an earlier write or sync failed, or that the log is closed.
 var ErrFailed = errors.New("log storage has failed")
 
+// ErrFull reports that the disk has no room. The operation has stored nothing and may be repeated.
+var ErrFull = errors.New("no room on the disk")
+
 // ErrLocked reports that another process uses the data directory.
 var ErrLocked = errors.New("data directory is in use by another process")
 
@@ -69,6 +76,12 @@
 	segmentNumber uint64
 	salt          uint32
 	buf           []byte
+	// size is the length of the segment up to its last synced frame, in bytes, and hasTail is set
+	// if a part of a frame may follow.
+	size    int64
+	hasTail bool
+	// write is (*os.File).Write; tests replace it to inject failures.
+	write func(f *os.File, p []byte) (int, error)
 	// sync is (*os.File).Sync; tests replace it to inject failures.
 	sync func(*os.File) error
 	// failure is the error of all further operations, once one has failed or the log is closed.
@@ -80,7 +93,7 @@
 func Open(dir, name string) (*Log, Contents, error) { return open(dir, name, (*os.File).Sync) }
 
 func open(dir, name string, sync func(*os.File) error) (*Log, Contents, error) {
-	l := &Log{dir: dir, sync: sync}
+	l := &Log{dir: dir, write: (*os.File).Write, sync: sync}
 	c, err := l.open(name)
 	if err != nil {
 		_ = l.Close()
@@ -164,13 +177,33 @@
 	if l.failure != nil {
 		return l.failure
 	}
+	if err := l.cutTail(); err != nil {
+		return l.failUnlessFull(err)
+	}
 	l.buf = appendFrame(l.buf[:0], l.salt, record{hardState: hardState, entries: entries})
-	if _, err := l.segment.Write(l.buf); err != nil {
-		return l.fail(err)
+	l.hasTail = true
+	if _, err := l.write(l.segment, l.buf); err != nil {
+		return l.failUnlessFull(err)
 	}
 	if err := l.sync(l.segment); err != nil {
 		return l.fail(err)
 	}
+	l.size, l.hasTail = l.size+int64(len(l.buf)), false
+	return nil
+}
+
+// cutTail removes what a failed append has left behind the last synced frame.
+func (l *Log) cutTail() error {
+	if !l.hasTail {
+		return nil
+	}
+	if err := l.segment.Truncate(l.size); err != nil {
+		return err
+	}
+	if _, err := l.segment.Seek(l.size, io.SeekStart); err != nil {
+		return err
+	}
+	l.hasTail = false
 	return nil
 }
 
@@ -181,11 +214,11 @@
 		return l.failure
 	}
 	if err := l.writeSnapshot(s); err != nil {
-		return l.fail(err)
+		return l.failUnlessFull(err)
 	}
 	old := l.segment
 	if err := l.startSegment(l.segmentNumber+1, position{s.Index, s.Term}, hardState, entries); err != nil {
-		return l.fail(err)
+		return l.failUnlessFull(err)
 	}
 	if err := l.syncDir(); err != nil {
 		return l.fail(err)
@@ -209,6 +242,15 @@
 	return errors.Join(errs...)
 }
 
+// failUnlessFull returns ErrFull if an operation failed because the disk has no room, and fails
+// otherwise. The files that are in use must be as before.
+func (l *Log) failUnlessFull(cause error) error {
+	if errors.Is(cause, syscall.ENOSPC) || errors.Is(cause, syscall.EDQUOT) {
+		return fmt.Errorf("%w: %w", ErrFull, cause)
+	}
+	return l.fail(cause)
+}
+
 // fail records the first error, with which all further operations fail.
 func (l *Log) fail(cause error) error {
 	if l.failure == nil {
