wal: files that were not completed do not keep the disk full

On a disk that is full because of it, the next process waited for room without end, in front of the code that would have removed the part: all processes run, and changes stay unanswered.

Change: the probe for room removes such files first.

Test: TestFullDiskKeepsNoLeftovers failed before.

--- a/server/wal/files.go
+++ b/server/wal/files.go
@@ -122,6 +122,23 @@
 	return f, nil
 }
 
+// removeTemporary removes the files that an earlier process has not completed.
+func removeTemporary(dir string) error {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, f := range files {
+		name := f.Name()
+		isOwn := name == identityFile+temporarySuffix || strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix)
+		if isOwn && strings.HasSuffix(name, temporarySuffix) {
+			errs = append(errs, os.Remove(filepath.Join(dir, name)))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // makeDir creates a directory and its missing parents durably. Without the sync of the
 // parent, the whole data directory could be missing after a power failure.
 func (l *Log) makeDir(dir string) error {
--- a/server/wal/full_test.go
+++ b/server/wal/full_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -90,7 +91,7 @@
 }
 
 // TestFullDiskKeepsNoLeftovers guards against a disk that stays full because of the parts of files
-// that could not be written.
+// that could not be written: of a running log, and of a process that has ended.
 func TestFullDiskKeepsNoLeftovers(t *testing.T) {
 	d := newTestDirectory(t)
 	names := func() (list []string) {
@@ -108,4 +109,9 @@
 	require.ErrorIs(t, l.SaveSnapshot(testSnapshot(12, 3), raft.HardState{Term: 9}, nil), ErrFull)
 	require.NoError(t, l.Close())
 	require.Equal(t, before, names())
+	for _, name := range []string{snapshotName(position{12, 3}), segmentName(7), identityFile} {
+		require.NoError(t, os.WriteFile(filepath.Join(d.dir, name+temporarySuffix), []byte("part"), 0o600))
+	}
+	require.NoError(t, Probe(d.dir))
+	require.Equal(t, before, names())
 }
--- a/server/wal/probe.go
+++ b/server/wal/probe.go
@@ -14,9 +14,10 @@
 )
 
 // Probe checks that files can be written to a data directory now. It creates the
-// directory if it does not exist, and removes the file that it writes.
+// directory if it does not exist, and removes the file that it writes. It also removes files that
+// an earlier process has not completed, whose room could be what is missing; no log may be open.
 func Probe(dir string) (err error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := errors.Join(os.MkdirAll(dir, 0o700), removeTemporary(dir)); err != nil {
 		return fmt.Errorf("probe data directory: %w", err)
 	}
 	path := filepath.Join(dir, probeFile)
