wal: a frame whose sync failed is cut off

The process ends after a failed sync, as before. The next one read the frame from the page cache, where the kernel marks pages clean after a failed sync, and took it for durable; a loss of power could then take back an entry that it had acknowledged.

Test: TestFailedSyncLeavesNoFrame failed before.

--- a/server/wal/full_test.go
+++ b/server/wal/full_test.go
@@ -115,3 +115,15 @@
 	require.NoError(t, Probe(d.dir))
 	require.Equal(t, before, names())
 }
+
+// TestFailedSyncLeavesNoFrame guards against a frame whose sync failed and that the next process
+// reads from the page cache and takes for durable.
+func TestFailedSyncLeavesNoFrame(t *testing.T) {
+	d := newTestDirectory(t)
+	l, before, err := Open(d.dir, "a")
+	require.NoError(t, err)
+	l.sync = func(*os.File) error { return syscall.EIO }
+	require.ErrorIs(t, l.Append(nil, []raft.Entry{entry(14, 9)}), ErrFailed)
+	require.NoError(t, l.Close())
+	require.Equal(t, before.PersistentState, contents(t, d.dir).PersistentState)
+}
--- a/server/wal/wal.go
+++ b/server/wal/wal.go
@@ -186,6 +186,9 @@
 		return l.failUnlessFull(err)
 	}
 	if err := l.sync(l.segment); err != nil {
+		// The next process would find the frame in the page cache and take it for durable. If
+		// this fails as well, there is nothing left to do.
+		_ = l.cutTail()
 		return l.fail(err)
 	}
 	l.size, l.hasTail = l.size+int64(len(l.buf)), false
