--- a/server/quorum/full.go
+++ b/server/quorum/full.go
@@ -31,13 +31,13 @@
 		}
 		err = write()
 	}
-	resume(err)
+	resume()
 	return err
 }
 
 // suspend ends the requests in progress and makes the replica appear as one without a leader.
 // The function that it returns restores its role, which the raft node has kept.
-func (q *Quorum) suspend(cause error) (resume func(error)) {
+func (q *Quorum) suspend(cause error) (resume func()) {
 	start := time.Now()
 	q.metrics.full.Update(1)
 	q.log.WithField("event", "quorum_disk_full").WithError(cause).Error("disk is full; the replica does not vote or acknowledge entries until there is room")
@@ -48,10 +48,10 @@
 	for token := range q.loop.requests {
 		q.completeRequest(token, nil, unknown)
 	}
-	return func(err error) {
+	return func() {
 		q.metrics.full.Update(0)
 		q.published.Store(previous)
-		q.log.WithFields(logrus.Fields{"event": "quorum_disk_room", "took_ms": time.Since(start).Milliseconds()}).WithError(err).Warn("disk has room again")
+		q.log.WithFields(logrus.Fields{"event": "quorum_disk_room", "took_ms": time.Since(start).Milliseconds()}).Warn("disk has room again")
 	}
 }
 
