--- a/server/forward/forward.go
+++ b/server/forward/forward.go
@@ -8,7 +8,8 @@
 //   - The statuses that mean "not run" (429, 503) are returned only if that is
 //     certain. For an unknown outcome, the caller gets 502 or 504, or its
 //     connection is closed.
-//   - A caller gets a successful response only with the complete body of one target.
+//   - A caller gets a successful response only with the complete body of one target, and an
+//     incomplete response never looks complete.
 //   - Of a stream, only whole events are relayed, in order and once each.
 //   - No event of a request with a reservation is relayed before the reservation is
 //     durable.
