--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockvale.dev/coord/routing"
+	"hemlockvale.dev/server/progress"
 )
 
 const (
@@ -38,7 +40,11 @@
 		Limits: func() routing.Limits { return routing.Limits{MaxHeaderBytes: maxHeaderBytes} },
 	})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/unread" {
+		switch r.URL.Path {
+		case "/unread":
+			return
+		case "/reset":
+			resetInBody(t, w)
 			return
 		}
 		n, err := io.Copy(io.Discard, r.Body)
@@ -189,3 +195,25 @@
 		assert.Zero(t, <-deadlines, body)
 	}
 }
+
+// resetInBody begins a response and resets its connection.
+func resetInBody(t *testing.T, w http.ResponseWriter) {
+	fmt.Fprint(w, "part")
+	controller := http.NewResponseController(w)
+	assert.NoError(t, controller.Flush())
+	conn, _, err := controller.Hijack()
+	if assert.NoError(t, err) {
+		assert.NoError(t, progress.Reset(conn))
+	}
+}
+
+// TestResetPassesTheLayers guards against a response to a caller of HTTP/1.0 that is to be reset,
+// and ends like a complete one because the connection has layers above TCP.
+func TestResetPassesTheLayers(t *testing.T) {
+	_, address := startGuarded(t, 1000)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /reset HTTP/1.0\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	_, err = io.ReadAll(r)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
