--- a/server/forward/record.go
+++ b/server/forward/record.go
@@ -12,7 +12,6 @@
 	"hemlockvale.dev/coord/dispatch"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/integrity"
-	"hemlockvale.dev/server/metrics"
 )
 
 // record collects the data of the request's log line.
@@ -64,8 +63,7 @@
 // observeFraming records how the end of a response shows.
 func (x *exchange) observeFraming(r *http.Response) {
 	x.record.framing, x.record.eventStream = integrity.FramingOf(r), integrity.IsEventStream(r)
-	name := metrics.Name("forward_responses", "framing", string(x.record.framing), "event_stream", strconv.FormatBool(x.record.eventStream))
-	gometrics.GetOrRegisterCounter(name, x.entry.options.Metrics).Inc(1)
+	gometrics.GetOrRegisterCounter("forward_responses;framing="+string(x.record.framing), x.entry.options.Metrics).Inc(1)
 }
 
 // finish writes the request's log line and updates the metrics. If the response is
--- a/server/integrity/body.go
+++ b/server/integrity/body.go
@@ -38,7 +38,7 @@
 
 // isJSON reports whether a response states that its body is JSON.
 func isJSON(r *http.Response) bool {
-	t := mediaType(r)
+	t := strings.ToLower(mediaType(r))
 	return t == "application/json" || strings.HasSuffix(t, "+json")
 }
 
--- a/server/integrity/framing.go
+++ b/server/integrity/framing.go
@@ -3,8 +3,8 @@
 package integrity
 
 import (
-	"mime"
 	"net/http"
+	"strings"
 )
 
 // Framing is how a recipient notices the end of a response.
@@ -36,12 +36,13 @@
 }
 
 // IsEventStream reports whether a response states that its body is a stream of server-sent events.
-func IsEventStream(r *http.Response) bool { return mediaType(r) == "text/event-stream" }
+func IsEventStream(r *http.Response) bool {
+	return strings.EqualFold(mediaType(r), "text/event-stream")
+}
 
-// mediaType returns the media type of the body in lower case, without parameters; empty if the
-// response states none.
+// mediaType returns the media type of the body as the response states it, without parameters; empty
+// if it states none.
 func mediaType(r *http.Response) string {
-	// An error in the parameters leaves the type.
-	t, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	return t
+	t, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	return strings.TrimSpace(t)
 }
