Review: long names of programs take all store machines over their memory

One tenant inside its allowance ends the processes of all store machines within about 13 s, again after each start.

--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -94,7 +94,7 @@
 	for name, value := range headers {
 		r.Header.Set(name, value)
 	}
-	c.rec.log("client: sends %s %s %s to %s %v", a.id, method, path, address, headers)
+	c.rec.log("client: sends %s %s %s to %s %.300v", a.id, method, path, address, fmt.Sprint(headers))
 	client := &http.Client{Timeout: deadline + time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(r)
 	if err == nil {
--- a/review/rig2/copies.go
+++ b/review/rig2/copies.go
@@ -64,6 +64,7 @@
 type outcome struct {
 	chat
 	tries, reached, gone int
+	complete             bool
 	statuses             []int
 }
 
@@ -82,7 +83,7 @@
 			if a.status == http.StatusNotFound || a.status == http.StatusGone {
 				o.gone++
 			}
-			if a.complete() {
+			if o.complete = a.complete(); o.complete {
 				return o
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -144,6 +145,11 @@
 			break
 		}
 	}
+	return w.awaitRetired(m)
+}
+
+// awaitRetired waits until a store machine is emptied.
+func (w *world) awaitRetired(m *machine) error {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		status, body := w.order(http.MethodGet, "/api/retire/"+m.name+"/get", "")
 		var state struct {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,7 +22,11 @@
 
 // cases holds the cases by name. A case returns what breaks the rule; none if it held.
 var cases = map[string]func(rec *recorder, trouble bool) ([]string, error){
-	"copies": copiesCase,
+	"copies":   copiesCase,
+	"latebeat": lateBeatCase,
+	"memory":   memoryCase,
+	"programs": programsCase,
+	"prefix":   prefixCase,
 }
 
 func main() {
--- a/review/rig2/setup.go
+++ b/review/rig2/setup.go
@@ -12,6 +12,12 @@
 	open   []*deployment
 )
 
+// engines is the number of workers of the model service, with 12 slots each.
+const engines = 12
+
+// plainWork is the time of a request at a plain service: the mean of pallet-transfer on the sheet.
+const plainWork = 104 * time.Millisecond
+
 // endAll ends the processes of all deployments.
 func endAll() {
 	openMu.Lock()
@@ -47,11 +53,11 @@
 	if err := d.operate(manifest(1, history)); err != nil {
 		return nil, fmt.Errorf("%w: %w", errSetup, err)
 	}
-	for n := range 4 {
+	for n := range engines {
 		w.addWorker(fmt.Sprintf("i-m%d", n+1), "models", 12, 20*time.Millisecond, true)
 	}
 	for n := range 3 {
-		w.addWorker(fmt.Sprintf("i-l%d", n+1), "ledger", 6, 39*time.Millisecond, false)
+		w.addWorker(fmt.Sprintf("i-l%d", n+1), "ledger", 6, plainWork, false)
 	}
 	for _, x := range w.workers {
 		if err := x.start(); err != nil {
@@ -85,14 +91,24 @@
 
 // turn makes one attempt of a turn that continues from another one.
 func (w *world) turn(program, previous string, left time.Duration) answer {
+	return w.turnWithBody(program, previous, "input of "+program+"\n", left)
+}
+
+// turnWithBody is turn with another body.
+func (w *world) turnWithBody(program, previous, body string, left time.Duration) answer {
+	return w.clients.send(http.MethodPost, "/chat/x", body, 3*time.Second, turnHeaders(program, previous, left))
+}
+
+// turnHeaders returns the headers of a turn.
+func turnHeaders(program, previous string, left time.Duration) map[string]string {
 	headers := map[string]string{
-		"X-Program": program, "X-Session": program, "X-Program-Deadline": fmt.Sprint(left.Milliseconds()), "X-Token-Budget": "1000000",
+		"X-Program": program, "X-Session": program[:min(len(program), 16)], "X-Program-Deadline": fmt.Sprint(left.Milliseconds()), "X-Token-Budget": "1000000",
 		"X-Token-Usage": "1840,77", "X-Model": "m", "X-Prompt-Prefix": "5c1e07a2:512,91bd3f06:410",
 	}
 	if previous != "" {
 		headers["X-Previous-Turn"] = previous
 	}
-	return w.clients.send(http.MethodPost, "/chat/x", "input of "+program+"\n", 3*time.Second, headers)
+	return headers
 }
 
 // complete reports whether the answer is a stream with its last event and its end.
