--- a/review/rig2/copies.go
+++ b/review/rig2/copies.go
@@ -219,7 +219,7 @@
 		count[o.when] = n
 	}
 	for when, n := range count {
-		w.rec.log("check: of %d turns answered %s the kill, %d are lost", n[1], when, n[0])
+		w.rec.log("check: of %d turns answered %s it, %d are lost", n[1], when, n[0])
 	}
 	return breaks, nil
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -27,6 +27,7 @@
 	"memory":   memoryCase,
 	"programs": programsCase,
 	"prefix":   prefixCase,
+	"leavers":  leaversCase,
 }
 
 func main() {
