Review: stand-ins that queue and honour Retry-After, a limit of time, controls without any disruption

A machine can't be started any more once the run ends. TROUBLE=0 keeps the waits; case 6 then has neither the leaving clients nor the losses, and LEAVERS=0 and LOSSES=0 leave out one of them.

--- a/review/rig2/copies.go
+++ b/review/rig2/copies.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -86,13 +87,22 @@
 			if o.complete = a.complete(); o.complete {
 				return o
 			}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(max(a.wait(), 100*time.Millisecond))
 		}
 		time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
 	}
 	return o
 }
 
+// wait returns how long the client waits after a refusal: Retry-After, up to a third of its time.
+func (a answer) wait() time.Duration {
+	seconds, err := strconv.ParseFloat(a.retryAfter, 64)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(seconds*float64(time.Second)), time.Second)
+}
+
 // copiesCase: a store machine is killed for a moment while turns are answered. Later, another one is
 // emptied and taken away, and right after that a third one loses its disk.
 func copiesCase(rec *recorder, trouble bool) ([]string, error) {
@@ -127,7 +137,9 @@
 		rec.log("platform: %s loses its disk", third.name)
 		third.kill()
 		third.wipe()
-		time.Sleep(wipeDown)
+	}
+	time.Sleep(wipeDown)
+	if trouble {
 		rec.log("platform: starts %s with an empty disk", third.name)
 		if err := third.start(); err != nil {
 			return nil, err
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -56,6 +57,8 @@
 	tolerate int
 	machines []*machine
 	reserved net.Listener
+	// closed is set once no process may be started any more.
+	closed atomic.Bool
 }
 
 // newDeployment reserves a loopback network and lays out the machines, one zone after the other.
@@ -117,6 +120,7 @@
 
 // close ends all processes and removes their files.
 func (d *deployment) close() {
+	d.closed.Store(true)
 	for _, m := range d.machines {
 		m.kill()
 	}
@@ -182,6 +186,14 @@
 func (m *machine) start() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.startLocked()
+}
+
+// startLocked is start for a caller that holds m.mu.
+func (m *machine) startLocked() error {
+	if m.d.closed.Load() {
+		return fmt.Errorf("%s: the deployment is closed", m.name)
+	}
 	path, err := m.settings()
 	if err != nil {
 		return err
@@ -212,10 +224,9 @@
 			m.d.rec.log("platform: the process of %s has ended by itself", m.name)
 			time.Sleep(restartDelay)
 			m.mu.Lock()
-			restart := m.cmd == cmd && !m.down
-			m.mu.Unlock()
-			if restart {
-				_ = m.start()
+			defer m.mu.Unlock()
+			if m.cmd == cmd && !m.down {
+				_ = m.startLocked()
 			}
 		}
 	}()
--- a/review/rig2/leavers.go
+++ b/review/rig2/leavers.go
@@ -29,26 +29,29 @@
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	if os.Getenv("LEAVERS") != "0" {
+	if trouble && os.Getenv("LEAVERS") != "0" {
 		wg.Go(func() { w.sendLeavers(stop) })
 	}
 	chats := w.startChats("before", loadTime, time.Second/stayerRate)
 	close(stop)
 	wg.Wait()
 	rec.log("setup: %d first turns were answered whole", len(chats))
-	if trouble {
-		for _, name := range []string{"store-2", "store-3"} {
-			m := w.machine(name)
+	losses := trouble && os.Getenv("LOSSES") != "0"
+	for _, name := range []string{"store-2", "store-3"} {
+		m := w.machine(name)
+		if losses {
 			rec.log("platform: %s loses its disk", m.name)
 			m.kill()
 			m.wipe()
-			time.Sleep(wipeDown)
+		}
+		time.Sleep(wipeDown)
+		if losses {
 			rec.log("platform: starts %s with an empty disk", m.name)
 			if err := m.start(); err != nil {
 				return nil, err
 			}
-			time.Sleep(catchUp + time.Second)
 		}
+		time.Sleep(catchUp + time.Second)
 	}
 	time.Sleep(contact)
 	return w.judge(chats)
@@ -90,6 +93,7 @@
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Deadline", "3000")
 	r.Header.Set("Authorization", "Bearer "+key)
+	w.rec.log("client: sends %s POST /chat/x of %s and will leave after %v", id, program, leaveAfter)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err == nil {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // The exit statuses of a case.
@@ -17,6 +18,9 @@
 	notRan = 2
 )
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 115 * time.Second
+
 // errSetup is wrapped by errors that keep a case from running.
 var errSetup = errors.New("the case could not run")
 
@@ -51,6 +55,11 @@
 		endAll()
 		os.Exit(notRan)
 	}()
+	time.AfterFunc(timeLimit, func() {
+		rec.log("result: could not run within %v", timeLimit)
+		endAll()
+		os.Exit(notRan)
+	})
 	breaks, err := run(rec, os.Getenv("TROUBLE") != "0")
 	endAll()
 	switch {
--- a/review/rig2/prefix.go
+++ b/review/rig2/prefix.go
@@ -37,7 +37,7 @@
 		wg.Go(func() {
 			headers := turnHeaders(fmt.Sprintf("p-%d", n), "", 30*time.Second)
 			if trouble {
-				headers["X-Prompt-Prefix"] = parts(n)
+				headers["X-Prompt-Prefix"], headers["X-Token-Usage"] = parts(n), fmt.Sprintf("%d,77", prefixParts)
 			}
 			if a := w.clients.send(http.MethodPost, "/chat/x", "input\n", 3*time.Second, headers); a.complete() {
 				served.Add(1)
--- a/review/rig2/setup.go
+++ b/review/rig2/setup.go
@@ -103,7 +103,7 @@
 func turnHeaders(program, previous string, left time.Duration) map[string]string {
 	headers := map[string]string{
 		"X-Program": program, "X-Session": program[:min(len(program), 16)], "X-Program-Deadline": fmt.Sprint(left.Milliseconds()), "X-Token-Budget": "1000000",
-		"X-Token-Usage": "1840,77", "X-Model": "m", "X-Prompt-Prefix": "5c1e07a2:512,91bd3f06:410",
+		"X-Token-Usage": "922,77", "X-Model": "m", "X-Prompt-Prefix": "5c1e07a2:512,91bd3f06:410",
 	}
 	if previous != "" {
 		headers["X-Previous-Turn"] = previous
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,6 +18,10 @@
 	tokensPerEvent = 11
 	eventsPerTurn  = 7
 	heartbeatEvery = 1200 * time.Millisecond
+	// queued is the number of requests that wait at a worker beyond its slots.
+	queued = 4
+	// healthPath is that of the manifest.
+	healthPath = "/health"
 )
 
 // run is one request that a worker has begun to work on.
@@ -62,6 +67,8 @@
 	sequence int64
 	born     int64
 	busy     int
+	waiting  int
+	free     chan struct{}
 	state    string
 	server   *http.Server
 	stop     chan struct{}
@@ -73,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	w.born, w.state, w.stop = time.Now().UnixMilli(), "ready", make(chan struct{})
+	w.born, w.state, w.stop, w.free = time.Now().UnixMilli(), "ready", make(chan struct{}), make(chan struct{}, w.slots)
 	w.address = l.Addr().String()
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
@@ -103,7 +110,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
-	body, _ := json.Marshal(map[string]any{"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state, "cold_left_ms": 0, "sequence": w.sequence, "born": w.born})
+	beat := map[string]any{"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state, "cold_left_ms": 0, "sequence": w.sequence, "born": w.born}
+	if w.engine {
+		beat["stage"], beat["models"] = "both", []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+	}
+	body, _ := json.Marshal(beat)
 	return body
 }
 
@@ -136,21 +147,36 @@
 	return false
 }
 
-// enter takes a slot, or reports that the worker is full.
-func (w *worker) enter() bool {
+// enter waits for a slot. It returns false if the worker is full, or if the time of the request passes
+// while it waits.
+func (w *worker) enter(ctx context.Context) bool {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.busy >= w.slots {
+	if w.busy+w.waiting >= w.slots+queued {
+		w.mu.Unlock()
 		return false
 	}
-	w.busy++
-	return true
+	w.waiting++
+	w.mu.Unlock()
+	entered := false
+	select {
+	case w.free <- struct{}{}:
+		entered = true
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting--
+	if entered {
+		w.busy++
+	}
+	return entered
 }
 
 func (w *worker) leave() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.busy--
+	w.mu.Unlock()
+	<-w.free
 }
 
 // load returns the share of slots in use.
@@ -169,6 +195,14 @@
 // ServeHTTP runs a request.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
+	if r.URL.Path == healthPath {
+		rw.Header().Set("X-Instance", w.id)
+		return
+	}
+	if id == "" {
+		notRun(rw, id, http.StatusBadRequest)
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
 		w.rec.log("worker %s: 421 for %s, which expects %s", w.id, id, expected)
 		notRun(rw, id, http.StatusMisdirectedRequest)
@@ -177,7 +211,13 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	if !w.enter() {
+	deadline, err := strconv.Atoi(r.Header.Get("X-Deadline"))
+	if err != nil {
+		deadline = 30_000
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(deadline)*time.Millisecond)
+	defer cancel()
+	if !w.enter(ctx) {
 		notRun(rw, id, http.StatusServiceUnavailable)
 		return
 	}
@@ -189,7 +229,8 @@
 	if !w.engine {
 		select {
 		case <-time.After(w.work):
-		case <-r.Context().Done():
+		case <-ctx.Done():
+			rw.WriteHeader(http.StatusGatewayTimeout)
 			return
 		}
 		fmt.Fprintf(rw, "done %s", id)
@@ -203,8 +244,8 @@
 	for n := last + 1; n <= eventsPerTurn; n++ {
 		select {
 		case <-time.After(w.work):
-		case <-r.Context().Done():
-			return
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(rw, "id: %d\ndata: %s/%d\n\n", n, id, n)
 		_ = flush.Flush()
