--- /dev/null
+++ b/review/rig3/case_voters.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// ledgerLeader returns the store machine that has last logged that it leads.
+func ledgerLeader(d *deployment) *machine {
+	var leader *machine
+	latest := ""
+	for _, m := range d.of("store") {
+		data, err := os.ReadFile(filepath.Join(m.dir, "log"))
+		if err != nil {
+			continue
+		}
+		for line := range bytes.Lines(data) {
+			if !bytes.Contains(line, []byte("event=ledger_leading")) {
+				continue
+			}
+			// Lines begin with the time.
+			if at := string(line[:min(len(line), 40)]); at > latest {
+				latest, leader = at, m
+			}
+		}
+	}
+	return leader
+}
+
+// caseVoters replaces a store machine by an empty one, restarts the leader of the stores for a
+// moment, and takes the disk of one store machine after the loss of the first one has stopped
+// counting.
+func caseVoters(rec *recorder, root string, trouble bool) int {
+	d, err := newDeployment(rec, root, 5, 3, 2)
+	if err != nil {
+		rec.say("cannot run: %v", err)
+		return 2
+	}
+	defer d.close()
+	if err := d.startAll(); err != nil {
+		rec.say("cannot run: %v", err)
+		return 2
+	}
+	op := newOperator(d)
+	if err := op.put(manifest(7, false, true), 15*time.Second); err != nil {
+		rec.say("cannot run: %v", err)
+		return 2
+	}
+	ran := &runs{}
+	for n := range 3 {
+		w, err := startWorker(d, n+1, "huvo11a", 12, streamTurn(ran))
+		if err != nil {
+			rec.say("cannot run: %v", err)
+			return 2
+		}
+		defer w.end()
+	}
+	fronts := d.of("entry")
+	type sent struct {
+		at     time.Duration
+		served bool
+	}
+	var mu sync.Mutex
+	var all []sent
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for c := range 4 {
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(150 * time.Millisecond):
+				}
+				s := sent{at: rec.now()}
+				a := attempt(rec, fronts[rand.Intn(len(fronts))], http.MethodPost, turnPrefix+"2f", turnHeader(fmt.Sprintf("p%d-%d", c, n), ""), []byte("input"), 3*time.Second)
+				s.served = a.status == http.StatusOK && a.whole
+				mu.Lock()
+				all = append(all, s)
+				mu.Unlock()
+			}
+		})
+	}
+	served := func(from, to time.Duration) (n, of int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, s := range all {
+			if s.at >= from && s.at < to {
+				of++
+				if s.served {
+					n++
+				}
+			}
+		}
+		return n, of
+	}
+	time.Sleep(10 * time.Second)
+	leader := ledgerLeader(d)
+	if leader == nil {
+		rec.say("cannot run: no store machine leads")
+		return 2
+	}
+	var others []*machine
+	for _, m := range d.of("store") {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	replaced, victim := others[0], others[1]
+	// One store machine is gone for good, and an empty one comes at another address.
+	t0 := time.Now()
+	rec.say("%s leads; %s is gone for good", leader.name, replaced.name)
+	replaced.kill()
+	time.Sleep(time.Second)
+	successor := d.add("store", 2, 4, false)
+	if err := successor.start(); err != nil {
+		rec.say("cannot run: %v", err)
+		return 2
+	}
+	// The successor has its place, and counts as lost until catch_up_s (4 s) after its start.
+	time.Sleep(time.Until(t0.Add(2700 * time.Millisecond)))
+	if trouble {
+		// A planned restart of the machine that leads the stores.
+		leader.terminate(8 * time.Second)
+		if err := leader.start(); err != nil {
+			rec.say("cannot run: %v", err)
+			return 2
+		}
+	}
+	time.Sleep(time.Until(t0.Add(5200 * time.Millisecond)))
+	before := rec.now()
+	n, of := served(before-2*time.Second, before)
+	rec.say("%d of %d requests of the last 2 s were served; %s loses its disk", n, of, victim.name)
+	victim.kill()
+	if err := victim.wipe(); err != nil {
+		return 2
+	}
+	time.Sleep(time.Second)
+	if err := victim.start(); err != nil {
+		return 2
+	}
+	const recoverTime = 12 * time.Second
+	back := rec.now()
+	time.Sleep(recoverTime + 10*time.Second)
+	close(stop)
+	clients.Wait()
+	n, of = served(back+recoverTime, back+recoverTime+10*time.Second)
+	was, wasOf := served(0, before)
+	rec.say("all machines are back; of the requests sent later than 12 s after that, %d of %d were served; %d of %d were before", n, of, was, wasOf)
+	if of == 0 || was*4 < wasOf {
+		rec.say("cannot run: too few requests")
+		return 2
+	}
+	if n*4 < of {
+		rec.say("BROKEN: RECOVER")
+		return 1
+	}
+	rec.say("held")
+	return 0
+}
