--- a/review/rig3/case_voters.go
+++ b/review/rig3/case_voters.go
@@ -33,9 +33,8 @@
 	return leader
 }
 
-// caseVoters replaces a store machine by an empty one, restarts the leader of the stores for a
-// moment, and takes the disk of one store machine after the loss of the first one has stopped
-// counting.
+// caseVoters replaces a store machine by an empty one, retires the machine that leads the stores,
+// and takes the disk of one store machine after the loss of the first one has stopped counting.
 func caseVoters(rec *recorder, root string, trouble bool) int {
 	d, err := newDeployment(rec, root, 5, 3, 2)
 	if err != nil {
@@ -52,6 +51,11 @@
 		rec.say("cannot run: %v", err)
 		return 2
 	}
+	// A store machine is added.
+	if err := d.add("store", 2, 4, false).start(); err != nil {
+		rec.say("cannot run: %v", err)
+		return 2
+	}
 	ran := &runs{}
 	for n := range 3 {
 		w, err := startWorker(d, n+1, "huvo11a", 12, streamTurn(ran))
@@ -107,7 +111,7 @@
 		return 2
 	}
 	var others []*machine
-	for _, m := range d.of("store") {
+	for _, m := range d.of("store")[:3] {
 		if m != leader {
 			others = append(others, m)
 		}
@@ -118,20 +122,31 @@
 	rec.say("%s leads; %s is gone for good", leader.name, replaced.name)
 	replaced.kill()
 	time.Sleep(time.Second)
-	successor := d.add("store", 2, 4, false)
+	successor := d.add("store", 2, 5, false)
 	if err := successor.start(); err != nil {
 		rec.say("cannot run: %v", err)
 		return 2
 	}
-	// The successor has its place, and counts as lost until catch_up_s (4 s) after its start.
-	time.Sleep(time.Until(t0.Add(2700 * time.Millisecond)))
+	// The loss counts until catch_up_s (4 s) after the start of the successor.
+	time.Sleep(time.Until(t0.Add(2 * time.Second)))
 	if trouble {
-		// A planned restart of the machine that leads the stores.
-		leader.terminate(8 * time.Second)
-		if err := leader.start(); err != nil {
-			rec.say("cannot run: %v", err)
+		// The operator has the machine that leads the stores emptied and takes it away.
+		status, text, err := op.call(http.MethodPost, "/api/retire/"+leader.name+"/start", []byte(`{"deadline_s":10}`), 2*time.Second)
+		if err != nil || status != http.StatusOK {
+			rec.say("cannot run: retirement: %d %s %v", status, text, err)
 			return 2
 		}
+		for state := ""; state != "done"; time.Sleep(50 * time.Millisecond) {
+			if time.Since(t0) > 5*time.Second {
+				rec.say("cannot run: the retirement is not done in 3 s")
+				return 2
+			}
+			if state, err = op.retireState(leader.name); err != nil {
+				rec.say("the state of the retirement: %v", err)
+			}
+		}
+		rec.say("the retirement of %s is done %d ms after the loss; the machine is removed", leader.name, time.Since(t0).Milliseconds())
+		leader.kill()
 	}
 	time.Sleep(time.Until(t0.Add(5200 * time.Millisecond)))
 	before := rec.now()
