--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -68,6 +68,7 @@
 			d.add(g.role, index+1, n+1, true)
 		}
 	}
+	current.Store(d)
 	return d, nil
 }
 
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -5,7 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // cases holds the scripts by the number of their folder. They return 0 if the rule held, 1 if it
@@ -31,5 +35,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-signals:
+		case <-time.After(timeLimit):
+		}
+		rec.say("cannot run: interrupted, or not at its end in time")
+		if d := current.Load(); d != nil {
+			d.close()
+		}
+		os.Exit(2)
+	}()
 	os.Exit(cases[os.Args[1]](rec, root, os.Getenv("TROUBLE") != "0"))
 }
+
+// timeLimit bounds a run.
+const timeLimit = 115 * time.Second
+
+// current is the deployment whose processes are ended when the run is interrupted.
+var current atomic.Pointer[deployment]
