--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 	"11": caseVoters,
 	"12": caseRetire,
 	"13": caseName,
+	"14": caseAddress,
 }
 
 func main() {
