ledger, registry: a store VM that does not report is neither empty nor unknown

Cause: the leader of the stores looked for the VM that is being retired among those that had reported within about 0.85 s. If it was not in that list, the loop that empties it did nothing, and the VM counted as empty.

Change: a retirement names the disk that is to be emptied, so the replicated directory alone says what depends on it. A VM that can't be asked may have every record that names it. A leader answers after a read barrier: one that has just been elected may not have applied all turns, and had no other reason to wait. The catalog records the store VMs that have reported, so that a suspended one is not unknown (404) after a change of the control leader or a silence of 1.2 s; what is not certain is 503. A retirement that is done is about the VM with that disk, not about a later one of the same name.

Ruled out: waiting longer for a report before the VM counts as gone. A VM may be suspended for longer than any such time.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -86,6 +86,8 @@
 	Node string `json:"node"`
 	// Address is the address at which the VM serves RPCs.
 	Address string `json:"address"`
+	// Storage identifies the disk of the VM; it is empty if it is not known.
+	Storage string `json:"storage,omitempty"`
 }
 
 // Command is a change of the state. Exactly one field is set.
@@ -98,6 +100,8 @@
 	FormStores []Store `json:"form_stores,omitempty"`
 	// Retire records the progress of a retirement.
 	Retire *Retirement `json:"retire,omitempty"`
+	// SeenStores records store VMs that have reported. Earlier releases ignore it.
+	SeenStores []Store `json:"seen_stores,omitempty"`
 	// Evacuate starts or ends the evacuation of a data centre. The encoded command also has
 	// the order as a Retire, for earlier releases; Evacuate takes precedence.
 	Evacuate *Evacuation `json:"evacuate,omitempty"`
@@ -113,15 +117,6 @@
 	Document []byte `json:"document"`
 }
 
-// Retirement is the progress of moving all replicas off a store VM.
-type Retirement struct {
-	// Node is the id of the VM and Address its RPC address.
-	Node    string `json:"node"`
-	Address string `json:"address"`
-	// Done is set when the VM holds no replicas any more.
-	Done bool `json:"done"`
-}
-
 // State is the replicated state of the catalog. It is not safe for concurrent use.
 type State struct {
 	// Revision is the log index of the last change.
@@ -144,6 +139,9 @@
 	Stores []Store `json:"stores,omitempty"`
 	// Retirements holds the retirements of store VMs by VM id.
 	Retirements map[string]Retirement `json:"retirements,omitempty"`
+	// KnownStores holds the store VMs that have reported, by VM id, so that a silent one is not
+	// taken for an unknown one after a change of the leader.
+	KnownStores map[string]KnownStore `json:"known_stores,omitempty"`
 	// Evacuations holds the log index of the order by evacuated data centre.
 	// EvacuationRevision is the log index of the last change of this map, or a later one.
 	Evacuations        map[string]uint64 `json:"evacuations,omitempty"`
@@ -152,7 +150,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{Targets: make(map[string]Target), ChangeRevisions: make(map[string]uint64), Retirements: make(map[string]Retirement), Evacuations: make(map[string]uint64)}
+	return &State{Targets: make(map[string]Target), ChangeRevisions: make(map[string]uint64), Retirements: make(map[string]Retirement), KnownStores: make(map[string]KnownStore), Evacuations: make(map[string]uint64)}
 }
 
 // Apply executes a committed command; index is its position in the log.
@@ -170,8 +168,9 @@
 			s.Revision = index
 		}
 	case c.Retire != nil:
-		s.Retirements[c.Retire.Node] = *c.Retire
-		s.Revision = index
+		s.applyRetirement(index, *c.Retire)
+	case len(c.SeenStores) > 0:
+		s.seenStores(index, c.SeenStores)
 	}
 }
 
--- a/coord/history/directory.go
+++ b/coord/history/directory.go
@@ -238,16 +238,21 @@
 }
 
 // Needs reports whether some turn that the given storage has is on fewer than wanted other
-// present VMs that are not retiring. Turns for which the storage is only named don't count; the
-// caller asks the VM for them first. Turns whose retention has passed for certain are left out.
-func (d *Directory) Needs(unixSeconds int64, storage string, present []Store, wanted int) bool {
+// present VMs that are not retiring. Turns for which the storage is only named count unless asked
+// is set: the VM refuses further records and has been asked for those turns. Turns whose
+// retention has passed for certain are left out.
+func (d *Directory) Needs(unixSeconds int64, storage string, asked bool, present []Store, wanted int) bool {
 	lasting := make(map[string]bool, len(present))
 	for _, s := range present {
 		lasting[s.Storage] = !s.Retiring && !d.Retired(s.Storage) && s.Storage != storage
 	}
 	depending := make(map[*holderSet]bool)
 	for _, set := range d.sets {
-		if !slices.Contains(set.having(), storage) {
+		mayHave := set.holders
+		if asked {
+			mayHave = set.having()
+		}
+		if !slices.Contains(mayHave, storage) {
 			continue
 		}
 		copies := 0
--- a/coord/history/directory_test.go
+++ b/coord/history/directory_test.go
@@ -62,12 +62,12 @@
 	d.Retire(100, "s0")
 	assert.False(t, d.Keep(100, keep("u", "s0", "s1")))
 	stores := newStores(3)
-	assert.True(t, d.Needs(100, "s0", stores, 2))
+	assert.True(t, d.Needs(100, "s0", true, stores, 2))
 	plan := new(Repair).Plan(d, 100, stores, 2, 10)
 	require.Len(t, plan.Copies, 1)
 	assert.Equal(t, "s2", plan.Copies[0].To.Storage)
 	require.True(t, d.Keep(100, stored("t", "s2")))
-	assert.False(t, d.Needs(100, "s0", stores, 2))
+	assert.False(t, d.Needs(100, "s0", true, stores, 2))
 	d.Expire(100 + retiredSeconds)
 	assert.True(t, d.Retired("s0"))
 	d.Expire(101 + retiredSeconds)
@@ -80,9 +80,9 @@
 	d := NewDirectory()
 	requireStored(t, d, "t", "s0", "s1")
 	d.Retire(100, "s0")
-	assert.True(t, d.Needs(100, "s0", newStores(1), 2))
-	assert.True(t, d.Needs(100, "s0", newStores(2), 2))
-	assert.False(t, d.Needs(100, "s2", newStores(1), 2), "it holds nothing")
+	assert.True(t, d.Needs(100, "s0", true, newStores(1), 2))
+	assert.True(t, d.Needs(100, "s0", true, newStores(2), 2))
+	assert.False(t, d.Needs(100, "s2", true, newStores(1), 2), "it holds nothing")
 }
 
 // TestRepair guards against missing copies that are not planned, copies from a VM that
@@ -134,11 +134,11 @@
 	require.True(t, d.Keep(100, keep("t", "s0", "s1")))
 	assert.Equal(t, []Turn{{"o", "t"}}, d.UnconfirmedOn(100, "s1"))
 	assert.Equal(t, RepairPlan{}, new(Repair).Plan(d, 100, stores, 2, 10), "nothing to copy")
-	assert.False(t, d.Needs(100, "s0", stores, 2), "the VM was asked and does not have it")
+	assert.False(t, d.Needs(100, "s0", true, stores, 2), "the VM was asked and does not have it")
 	require.True(t, d.Keep(100, stored("t", "s0", "s2")))
 	assert.Equal(t, []string{"s1"}, d.Named(Turn{"o", "t"}))
-	assert.True(t, d.Needs(100, "s0", stores, 2), "s1 does not have it")
-	assert.False(t, d.Needs(100, "s1", stores, 2))
+	assert.True(t, d.Needs(100, "s0", true, stores, 2), "s1 does not have it")
+	assert.False(t, d.Needs(100, "s1", true, stores, 2))
 	plan := new(Repair).Plan(d, 100, stores[1:], 2, 10)
 	require.Len(t, plan.Copies, 1)
 	assert.Equal(t, "s2", plan.Copies[0].From.Storage)
@@ -157,7 +157,7 @@
 	require.True(t, d.Keep(100, keep("t", "s0", "s1")))
 	d.Retire(100, "s1")
 	require.True(t, d.Keep(100, stored("t", "s0", "s1")))
-	assert.True(t, d.Needs(100, "s1", newStores(2), 2))
+	assert.True(t, d.Needs(100, "s1", true, newStores(2), 2))
 	assert.False(t, d.Keep(100, keep("t", "s1")))
 	d.Retire(100, "s2")
 	assert.False(t, d.Keep(100, stored("t", "s2")), "it was not named before")
@@ -219,3 +219,16 @@
 	require.NoError(t, json.Unmarshal(data, &image))
 	assert.Equal(t, d, FromImage(image))
 }
+
+// TestUnaskedVMMayHaveRecords guards against a VM that counts as empty although it was named as a
+// holder and nobody knows whether it has the record.
+func TestUnaskedVMMayHaveRecords(t *testing.T) {
+	d := NewDirectory()
+	require.True(t, d.Keep(100, Keep{Turn: Turn{ID: "x"}, Holders: []string{"s0"}, RetentionSeconds: 60}))
+	d.Retire(100, "s0")
+	others := newStores(4)[1:]
+	assert.True(t, d.Needs(100, "s0", false, others, 2))
+	assert.False(t, d.Needs(100, "s0", true, others, 2), "it was asked and does not have it")
+	require.True(t, d.Keep(100, Keep{Turn: Turn{ID: "x"}, Holders: []string{"s1", "s2"}, Copied: true}))
+	assert.False(t, d.Needs(100, "s0", false, others, 2), "two others have it")
+}
--- a/coord/history/schedule_test.go
+++ b/coord/history/schedule_test.go
@@ -239,16 +239,20 @@
 	}
 }
 
-// retire empties a VM and removes it, with its disk, once the directory allows it.
+// retire empties a VM and removes it, with its disk, once the directory allows it. A VM that is
+// down, or suspended, is not asked what it has.
 func (s *simulation) retire(v *simStore) {
-	if len(s.stores) <= 2*simLosses+1 || !v.up {
+	if len(s.stores) <= 2*simLosses+1 {
 		return
 	}
 	s.directory.Retire(s.now, v.Storage)
-	v.Retiring, v.sealed = true, true
-	s.ask(v, s.directory.UnconfirmedOn(s.now, v.Storage))
+	v.Retiring = true
+	if v.up {
+		v.sealed = true
+		s.ask(v, s.directory.UnconfirmedOn(s.now, v.Storage))
+	}
 	s.repair(100)
-	if s.directory.Needs(s.now, v.Storage, s.present(), simLosses+1) {
+	if s.directory.Needs(s.now, v.Storage, v.up, s.present(), simLosses+1) {
 		return
 	}
 	s.checkEmptied(v)
--- a/server/ledger/histories.go
+++ b/server/ledger/histories.go
@@ -4,15 +4,23 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hemlockvale.dev/coord/history"
 	"hemlockvale.dev/server/registry"
 	"hemlockvale.dev/server/rpc"
 )
 
-// commitTimeout bounds the commit of a retirement or of copies.
-const commitTimeout = 500 * time.Millisecond
+const (
+	// commitTimeout bounds the commit of a retirement or of copies.
+	commitTimeout = 500 * time.Millisecond
+	// askTimeout bounds the questions to a VM that is being retired, so that a suspended one leaves
+	// time for the rest of the request.
+	askTimeout = 400 * time.Millisecond
+)
 
 // MethodTurn is the RPC method that tells where the history of a turn lies. The leader
 // executes it.
@@ -80,33 +88,47 @@
 }
 
 // emptyStorage excludes a storage from holding histories and reports whether none depends
-// on it any more.
-func (h *Host) emptyStorage(ctx context.Context, rpcAddress string) (bool, error) {
+// on it any more. A VM that cannot be asked, because it is suspended or gone, may have each record
+// that names it as a holder.
+func (h *Host) emptyStorage(ctx context.Context, storage string) (bool, error) {
 	stores := h.options.Stores()
-	for _, s := range stores {
-		if s.RPCAddress != rpcAddress {
-			continue
-		}
-		retired, needed := false, false
-		h.options.Machine.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(s.Storage) })
-		if !retired {
-			ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-			defer cancel()
-			if _, err := h.commit(ctx, operation{retiredStorage: s.Storage}); err != nil {
-				return false, err
-			}
-		}
-		if err := h.confirmAll(ctx, s); err != nil {
+	retired := false
+	h.options.Machine.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(storage) })
+	if !retired {
+		commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		if _, err := h.commit(commitCtx, operation{retiredStorage: storage}); err != nil {
 			return false, err
 		}
-		h.options.Machine.readTurns(func(turns *history.Directory, unixSeconds int64) {
-			needed = turns.Needs(unixSeconds, s.Storage, stores, h.options.Copies)
-		})
-		if needed {
-			return false, nil
+	}
+	asked := false
+	if i := slices.IndexFunc(stores, func(s history.Store) bool { return s.Storage == storage }); i >= 0 {
+		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		asked = h.confirmAll(askCtx, stores[i]) == nil
+	}
+	needed := false
+	h.options.Machine.readTurns(func(turns *history.Directory, unixSeconds int64) {
+		needed = turns.Needs(unixSeconds, storage, asked, stores, h.options.Copies)
+	})
+	h.options.Log.WithFields(logrus.Fields{"event": "retire_checked", "storage": storage, "asked": asked, "needed": needed}).Info("store VM that is being retired was checked for histories that depend on it")
+	return !needed, nil
+}
+
+// storageAt returns the storage of the store VM at an address, for requests of earlier releases;
+// "" if it is not known.
+func (h *Host) storageAt(address string) string {
+	for _, s := range h.options.Stores() {
+		if s.RPCAddress == address {
+			return s.Storage
+		}
+	}
+	for _, m := range h.options.Quorum.Describe().Members {
+		if m.Address == address {
+			return m.Storage
 		}
 	}
-	return true, nil
+	return ""
 }
 
 // handleRemoveVoter moves all histories off a store VM that is being retired and removes
@@ -116,12 +138,20 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, rpc.Errorf("bad_request", "remove voter: %v", err)
 	}
-	if h.options.Quorum.LeaderSince().IsZero() {
-		return nil, rpc.Errorf("not_leader", "this store VM does not lead")
-	}
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
-	empty, err := h.emptyStorage(ctx, r.Address)
+	// A new leader may not have applied all turns, and a former one does not get them.
+	if err := h.options.Quorum.ReadBarrier(ctx); err != nil {
+		return nil, rpc.Errorf("not_leader", "this store VM does not lead: %v", err)
+	}
+	storage := r.Storage
+	if storage == "" {
+		storage = h.storageAt(r.Address)
+	}
+	if storage == "" {
+		return nil, rpc.Errorf("unavailable", "the storage of the store VM at %s is not known", r.Address)
+	}
+	empty, err := h.emptyStorage(ctx, storage)
 	if err != nil {
 		return nil, rpc.Errorf("unavailable", "%v", err)
 	}
--- a/server/ledger/histories_test.go
+++ b/server/ledger/histories_test.go
@@ -76,7 +76,7 @@
 
 // retire orders that a VM be emptied and reports whether it is.
 func (s *testStore) retire(t *testing.T, ctx context.Context, storage string) bool {
-	params, err := json.Marshal(registry.RemoveVoterRequest{Address: historyStore(storage).RPCAddress})
+	params, err := json.Marshal(map[string]string{"address": historyStore(storage).RPCAddress, "storage": storage})
 	require.NoError(t, err)
 	response, err := s.host.handleRemoveVoter(ctx, params)
 	if err != nil {
@@ -194,6 +194,30 @@
 	require.Eventually(t, func() bool { return lasting("wiped") == 2 }, 2*absenceLimit, 20*time.Millisecond)
 }
 
+// TestSilentStoreIsNotEmpty guards against a VM that counts as empty because it does not report
+// while it is being retired: it is suspended, and the only one with a second copy.
+func TestSilentStoreIsNotEmpty(t *testing.T) {
+	s, c, ctx := startRecordStores(t, "a", "b")
+	s.store("whole", "a", "b")
+	require.NoError(t, c.Keep(ctx, keepOf("whole", "a", "b")))
+	require.NoError(t, c.Keep(ctx, storedOf("whole", "a", "b")))
+	s.setStores(historyStore("b"))
+	require.False(t, s.retire(t, ctx, "a"), "b alone holds it")
+	s.setStores(historyStore("b"), historyStore("c"))
+	require.Eventually(t, func() bool { return s.retire(t, ctx, "a") }, 10*time.Second, 20*time.Millisecond)
+	assert.True(t, s.holds("whole", "c"))
+
+	// The entry has not reported yet who stored "reported later".
+	s.setStores(historyStore("b"), historyStore("c"), historyStore("d"))
+	require.NoError(t, c.Keep(ctx, keepOf("reported later", "b")))
+	s.store("reported later", "b")
+	s.setStores(historyStore("c"), historyStore("d"))
+	require.False(t, s.retire(t, ctx, "b"), "b can't be asked whether it has the record")
+	s.setStores(historyStore("b"), historyStore("c"), historyStore("d"))
+	require.Eventually(t, func() bool { return s.retire(t, ctx, "b") }, 10*time.Second, 20*time.Millisecond)
+	assert.True(t, s.holds("reported later", "c") && s.holds("reported later", "d"))
+}
+
 // TestLostReportOfStoredTurn guards against a turn that gets no further copies because the
 // report of its entry, which ended or belongs to an earlier release, did not arrive.
 func TestLostReportOfStoredTurn(t *testing.T) {
--- a/server/registry/registry.go
+++ b/server/registry/registry.go
@@ -146,6 +146,7 @@
 	periodic.Every(ctx, leaderTaskInterval, func() {
 		if _, _, self := g.options.Quorum.Leader(); self {
 			g.formStores(ctx)
+			g.recordStores(ctx)
 			g.finishRetirements(ctx)
 		}
 	})
--- a/server/registry/reports.go
+++ b/server/registry/reports.go
@@ -95,18 +95,15 @@
 
 // historyStores returns the store VMs that serve histories and reported recently.
 func (g *Registry) historyStores() []history.Store {
-	retiring := make(map[string]bool)
+	var stores []history.Store
+	vms := g.liveVMs("store")
 	g.options.Machine.read(func(s *catalog.State) {
-		for node := range s.Retirements {
-			retiring[node] = true
+		for _, vm := range vms {
+			if vm.Storage != "" {
+				stores = append(stores, history.Store{Storage: vm.Storage, Address: vm.HistoryAddress, RPCAddress: vm.RPCAddress, DataCentre: vm.DataCentre, Retiring: s.Retiring(vm.store())})
+			}
 		}
 	})
-	var stores []history.Store
-	for _, vm := range g.liveVMs("store") {
-		if vm.Storage != "" {
-			stores = append(stores, history.Store{Storage: vm.Storage, Address: vm.HistoryAddress, RPCAddress: vm.RPCAddress, DataCentre: vm.DataCentre, Retiring: retiring[vm.Node]})
-		}
-	}
 	return stores
 }
 
--- a/server/registry/retire.go
+++ b/server/registry/retire.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,20 +14,21 @@
 )
 
 var (
-	// ErrUnknownNode reports that no store VM with this id is known.
-	ErrUnknownNode = errors.New("no such store VM")
+	// ErrUnknownNode reports that there is no store VM with this id.
+	ErrUnknownNode = catalog.ErrUnknownStore
 	// ErrTooFewStores reports that too few store VMs would remain.
-	ErrTooFewStores = errors.New("too few store VMs would remain")
+	ErrTooFewStores = catalog.ErrTooFewStores
 )
 
 // MethodRemoveVoter is the RPC method that asks the leader of the store group to remove
 // the replica of another store VM.
 const MethodRemoveVoter = "ledger.remove_voter"
 
-// RemoveVoterRequest is the request of MethodRemoveVoter. Address is the RPC address of
-// the VM to remove.
+// RemoveVoterRequest is the request of MethodRemoveVoter. Storage identifies the disk of the VM to
+// remove, and Address is its RPC address. Earlier releases send and use the address only.
 type RemoveVoterRequest struct {
 	Address string `json:"address"`
+	Storage string `json:"storage,omitempty"`
 }
 
 // RemoveVoterResponse is the response of MethodRemoveVoter. Removed is set when the VM no
@@ -91,55 +91,78 @@
 	// Two requests at once must not both count the other one's VM as remaining.
 	g.retireMu.Lock()
 	defer g.retireMu.Unlock()
-	var retirements map[string]catalog.Retirement
-	g.options.Machine.read(func(s *catalog.State) { retirements = maps.Clone(s.Retirements) })
-	if retirement, found := retirements[r.Node]; found {
-		return retirement.Done, nil
-	}
-	if r.StatusOnly {
-		return false, ErrUnknownNode
-	}
-	address, err := checkRetirement(g.liveVMs("store"), retirements, r.Node, 2*g.options.TolerateLosses+1)
-	if err != nil {
+	reports := g.storeReports()
+	var retirement catalog.Retirement
+	var err error
+	started := false
+	g.options.Machine.read(func(s *catalog.State) {
+		retirement, err = s.RetirementOf(r.Node, reports)
+		if started = err == nil; !started && !r.StatusOnly {
+			retirement, err = s.NewRetirement(r.Node, reports, 2*g.options.TolerateLosses+1)
+		}
+	})
+	switch {
+	case errors.Is(err, catalog.ErrStoresUncertain):
+		return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case err != nil:
 		return false, err
+	case started:
+		return retirement.Done, nil
 	}
-	return false, g.commit(ctx, catalog.Command{Retire: &catalog.Retirement{Node: r.Node, Address: address}})
+	err = g.commit(ctx, catalog.Command{Retire: &retirement})
+	g.options.Log.WithFields(logrus.Fields{"event": "retire_started", "node": r.Node, "address": retirement.Address, "storage": retirement.Storage, "error": err}).Info("retirement of a store VM recorded")
+	return false, err
 }
 
-// checkRetirement returns the address of the store VM that is to be retired. It returns
-// ErrTooFewStores if fewer than wanted VMs that are not being retired would remain.
-func checkRetirement(stores []VM, retirements map[string]catalog.Retirement, node string, wanted int) (address string, err error) {
-	remaining := 0
-	for _, vm := range stores {
-		_, retiring := retirements[vm.Node]
-		switch {
-		case vm.Node == node:
-			address = vm.RPCAddress
-		case !retiring:
-			remaining++
+// storeReports returns what this VM has learned from store VMs.
+func (g *Registry) storeReports() catalog.StoreReports {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	collected := time.Since(g.started)
+	reports := catalog.StoreReports{Collected: collected, Complete: collected >= listingDelay}
+	timeout := g.reportTimeout()
+	for _, report := range g.reports {
+		if report.Role == "store" {
+			age := time.Since(report.receivedAt)
+			reports.Reports = append(reports.Reports, catalog.StoreReport{Store: report.store(), Age: age, Recent: age < timeout})
 		}
 	}
-	switch {
-	case address == "":
-		return "", ErrUnknownNode
-	case remaining < wanted:
-		return "", ErrTooFewStores
+	return reports
+}
+
+// store returns the identity of a store VM.
+func (vm VM) store() catalog.Store {
+	return catalog.Store{Node: vm.Node, Address: vm.RPCAddress, Storage: vm.Storage}
+}
+
+// recordStores commits the store VMs that have reported for the first time, at another address
+// or with another disk.
+func (g *Registry) recordStores(ctx context.Context) {
+	var reporting, unseen []catalog.Store
+	for _, vm := range g.liveVMs("store") {
+		reporting = append(reporting, vm.store())
+	}
+	g.options.Machine.read(func(s *catalog.State) { unseen = s.UnseenStores(reporting) })
+	if len(unseen) == 0 {
+		return
+	}
+	err := g.commit(ctx, catalog.Command{SeenStores: unseen})
+	for _, store := range unseen {
+		g.options.Log.WithFields(logrus.Fields{"event": "store_recorded", "node": store.Node, "address": store.Address, "storage": store.Storage, "error": err}).Info("store VM recorded")
 	}
-	return address, nil
 }
 
 // finishRetirements asks the store group to remove the replicas of VMs that are being
 // retired, and commits the completed retirements.
 func (g *Registry) finishRetirements(ctx context.Context) {
+	reports := g.storeReports()
 	var pending []catalog.Retirement
-	g.options.Machine.read(func(s *catalog.State) {
-		for _, r := range s.Retirements {
-			if !r.Done {
-				pending = append(pending, r)
-			}
-		}
-	})
+	g.options.Machine.read(func(s *catalog.State) { pending = s.PendingRetirements(reports) })
 	for _, r := range pending {
+		if r.Storage == "" {
+			// The disk that is to be emptied is not known before the VM has opened it.
+			continue
+		}
 		if g.removeReplica(ctx, r) {
 			r.Done = true
 			err := g.commit(ctx, catalog.Command{Retire: &r})
@@ -158,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
 	var response RemoveVoterResponse
-	request := RemoveVoterRequest{Address: r.Address}
+	request := RemoveVoterRequest{Address: r.Address, Storage: r.Storage}
 	if err := g.options.Pool.Call(ctx, leader, MethodRemoveVoter, request, &response); err != nil {
 		g.options.Log.WithFields(logrus.Fields{"event": "retire_pending", "node": r.Node, "leader": leader}).WithError(err).Warn("store group did not remove the VM")
 		return false
