voters: a dead voter does not outlast the loss that it stands for

The same happens with restarts of the leader, and on control VMs, where no configuration is acknowledged any more.

Cause: absence of evidence counted as evidence. A new leader counted each voter as having just responded, so the dead one stayed for another 3 s with each leader (a standby waited 1.5 s); and what counted as remaining, when a voter was retired, was its entry in the list of members, dead or not. So a group of four with a dead voter (three must respond) met the next loss.

Change: coord/voters decides about additions, removals and retirements as pure functions of what the leader knows. A voter remains only if it has been heard in this leader's time; raft changes members only if a quorum of the new ones has been. A voter that a new leader has not heard in 0.6 s (six heartbeats) is missing; one that the group is as safe without (an even number of voters) is removed after 1 s of silence, or 0.6 s unheard. A retirement waits until the group bears the tolerated losses without the VM. Standbys are remembered for 2 s, so the leader need not wait for the next request.

Ruled out: a shorter time for every dead voter (a VM that restarts would lose its place in any group), and marks of silence in the configuration (they save one wait of 0.6 s and need a commit just when the quorum is thin).

--- a/coord/raft/leader.go
+++ b/coord/raft/leader.go
@@ -18,8 +18,11 @@
 	sentIndex uint64
 	// sentAt is the time at which it was sent; it is sent again after a heartbeat interval.
 	sentAt time.Duration
-	// lastContact is the time of the member's last response.
+	// lastContact is the time of the member's last response, or of the start of its replication
+	// if heard is not set.
 	lastContact time.Duration
+	// heard is set once the member has responded.
+	heard bool
 	// round is the latest confirmation round that the member acknowledged.
 	round uint64
 	// snapshot is the snapshot in transfer, or nil, and offset is the position
@@ -28,8 +31,8 @@
 	offset   uint64
 }
 
-// addProgress starts replication to a member after the last entry of the log.
-// The member counts as having just responded.
+// addProgress starts replication to a member after the last entry of the log. Until
+// the member is heard, its silence counts from now on.
 func (n *Node) addProgress(id ReplicaID) {
 	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastContact: n.now}
 }
@@ -65,6 +68,16 @@
 	return active >= c.Quorum()
 }
 
+// hearsQuorum reports whether a quorum of c's voters, including this replica if it is
+// one, is known to respond. A voter that this leader has not heard may be gone.
+func (n *Node) hearsQuorum(c Configuration) bool {
+	heard := Configuration{Members: slices.DeleteFunc(slices.Clone(c.Members), func(m Member) bool {
+		pr := n.progress[m.ReplicaID]
+		return m.ReplicaID != n.cfg.ID && (pr == nil || !pr.heard || n.now-pr.lastContact >= n.cfg.ElectionTimeoutMax)
+	})}
+	return heard.Voters() >= c.Quorum()
+}
+
 // propose appends a command if this replica is the leader.
 func (n *Node) propose(ev Propose) {
 	if n.role != Leader {
@@ -151,7 +164,7 @@
 	if n.role != Leader || pr == nil {
 		return
 	}
-	pr.lastContact = n.now
+	pr.lastContact, pr.heard = n.now, true
 	pr.round = max(pr.round, m.Round)
 	switch m.Kind {
 	case MessageHeartbeatResponse:
--- a/coord/raft/members.go
+++ b/coord/raft/members.go
@@ -68,7 +68,7 @@
 		return
 	}
 	remaining := c.without(ev.ID)
-	if remaining.Voters() == 0 || !n.hasActiveQuorum(remaining) {
+	if remaining.Voters() == 0 || !n.hearsQuorum(remaining) {
 		n.emit(Rejected{ev.Token, ErrUnsafeChange})
 		return
 	}
@@ -89,7 +89,7 @@
 	pr := n.progress[learner.ReplicaID]
 	learner.Learner = false
 	promoted := c.with(learner)
-	if pr.match < n.commit || n.now-pr.lastContact >= n.cfg.ElectionTimeoutMax || !n.hasActiveQuorum(promoted) {
+	if pr.match < n.commit || n.now-pr.lastContact >= n.cfg.ElectionTimeoutMax || !n.hearsQuorum(promoted) {
 		return
 	}
 	n.changeConfiguration(0, promoted)
--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -27,8 +27,11 @@
 type MemberStatus struct {
 	// Match is the highest index that is known to be durable on the member.
 	Match uint64
-	// SinceLastContact is the time since the member's last response.
+	// SinceLastContact is the time since the member's last response, or since the election if it
+	// has not been heard since.
 	SinceLastContact time.Duration
+	// Heard is set if the member has responded since the election.
+	Heard bool
 }
 
 // HasState reports whether the replica has a term, a snapshot or log entries, which
@@ -60,7 +63,7 @@
 	if n.role == Leader {
 		s.Members = make(map[ReplicaID]MemberStatus, len(n.progress))
 		for id, pr := range n.progress {
-			s.Members[id] = MemberStatus{Match: pr.match, SinceLastContact: n.now - pr.lastContact}
+			s.Members[id] = MemberStatus{Match: pr.match, SinceLastContact: n.now - pr.lastContact, Heard: pr.heard}
 		}
 	}
 	return s
--- a/server/ledger/histories.go
+++ b/server/ledger/histories.go
@@ -92,9 +92,7 @@
 // that names it as a holder.
 func (h *Host) emptyStorage(ctx context.Context, storage string) (bool, error) {
 	stores := h.options.Stores()
-	retired := false
-	h.options.Machine.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(storage) })
-	if !retired {
+	if !h.options.Machine.Retired(storage) {
 		commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		if _, err := h.commit(commitCtx, operation{retiredStorage: storage}); err != nil {
@@ -158,7 +156,7 @@
 	if !empty {
 		return registry.RemoveVoterResponse{}, nil
 	}
-	removed, err := h.options.Quorum.Retire(ctx, r.Address)
+	removed, err := h.options.Quorum.Retire(ctx, storage)
 	if err != nil {
 		return nil, rpc.Errorf("unavailable", "%v", err)
 	}
--- a/server/ledger/machine.go
+++ b/server/ledger/machine.go
@@ -134,6 +134,13 @@
 	read(m.state.Turns(), m.state.UnixSeconds())
 }
 
+// Retired reports whether the VM with a storage is being retired or has been.
+func (m *Machine) Retired(storage string) bool {
+	retired := false
+	m.readTurns(func(turns *history.Directory, _ int64) { retired = turns.Retired(storage) })
+	return retired
+}
+
 // readSuspects calls read with the requests that have ended targets. read must not keep or
 // change them.
 func (m *Machine) readSuspects(read func(*quarantine.Records)) {
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hemlockvale.dev/coord/routing"
+	"hemlockvale.dev/coord/voters"
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/forward"
 	"hemlockvale.dev/server/graceful"
@@ -67,7 +68,10 @@
 	taskCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go reg.Run(taskCtx)
-	go q.MaintainMembership(taskCtx, quorum.MembershipPolicy{MinVoters: p.minVoters(), KnownAddresses: func() []string { return append(q.Addresses(), p.seeds()...) }})
+	go q.MaintainMembership(taskCtx, quorum.MembershipPolicy{
+		Policy:         voters.Policy{MinVoters: p.minVoters()},
+		KnownAddresses: func() []string { return append(q.Addresses(), p.seeds()...) },
+	})
 	servers := make([]*graceful.Conns, 0, 2)
 	for _, s := range []struct {
 		name, address string
@@ -140,7 +144,7 @@
 	h.Register(p.rpc)
 	go h.Run(taskCtx)
 	go q.MaintainMembership(taskCtx, quorum.MembershipPolicy{
-		MinVoters: p.minVoters(), MaxVoters: p.minVoters(),
+		Policy:         voters.Policy{MinVoters: p.minVoters(), MaxVoters: p.minVoters(), Retired: machine.Retired},
 		KnownAddresses: func() []string { return append(q.Addresses(), follower.Stores()...) },
 	})
 	go trackLeader(taskCtx, q, &leader)
--- a/server/quorum/describe.go
+++ b/server/quorum/describe.go
@@ -21,9 +21,12 @@
 	// Match is the highest log index that is known to be durable on the member. It is
 	// set on the leader only.
 	Match uint64 `json:"match,omitempty"`
-	// SinceLastContactMS is the time since the member's last response, in milliseconds.
-	// It is set on the leader only.
+	// SinceLastContactMS is the time since the member's last response, or since the leader's
+	// election if it has not responded since, in milliseconds. It is set on the leader only.
 	SinceLastContactMS int64 `json:"silence_ms,omitempty"`
+	// Heard is set if the member has responded since the leader's election. It is set on the
+	// leader only.
+	Heard bool `json:"heard,omitempty"`
 }
 
 // Description describes the state of a replica, for operators.
@@ -78,7 +81,7 @@
 	for _, m := range s.Configuration.Members {
 		progress := s.Members[m.ReplicaID]
 		d.Members = append(d.Members, MemberDescription{
-			Voter: Voter{m.ReplicaID, m.Address}, Learner: m.Learner, Match: progress.Match, SinceLastContactMS: progress.SinceLastContact.Milliseconds(),
+			Voter: Voter{m.ReplicaID, m.Address}, Learner: m.Learner, Match: progress.Match, SinceLastContactMS: progress.SinceLastContact.Milliseconds(), Heard: progress.Heard,
 		})
 	}
 	return d
--- a/server/quorum/membership.go
+++ b/server/quorum/membership.go
@@ -1,13 +1,20 @@
 package quorum
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"hemlockvale.dev/coord/raft"
+	"hemlockvale.dev/coord/voters"
 	"hemlockvale.dev/server/periodic"
 	"hemlockvale.dev/server/rpc"
 )
@@ -23,23 +30,16 @@
 	// changeTimeout bounds one membership change, including the copy of the state to a
 	// new member.
 	changeTimeout = 10 * time.Second
-	// DefaultDeadAfter is the default of MembershipPolicy.DeadAfter. A VM that restarts
-	// responds again within this time.
-	DefaultDeadAfter = 3 * time.Second
+	// standbyAge is the time for which a replica that has asked to be added counts as there. It asks
+	// again earlier.
+	standbyAge = 2 * joinInterval
+	// maxStandbys bounds the replicas that are remembered because they have asked to be added.
+	maxStandbys = 64
 )
 
 // MembershipPolicy controls how members are added and removed without an operator.
 type MembershipPolicy struct {
-	// MinVoters is the number of voters that must remain when a dead voter or a retired
-	// replica is removed. It is twice the number of tolerated losses plus one.
-	MinVoters int
-	// DeadAfter is the time without a response after which a member may be removed; 0
-	// means DefaultDeadAfter.
-	DeadAfter time.Duration
-	// MaxVoters is the number of live members at which no further replica is added, except
-	// to replace a member of the same name; 0 means no limit. A replica that is not added
-	// repeats its request and is added once a member is lost.
-	MaxVoters int
+	voters.Policy
 	// KnownAddresses returns the RPC addresses of VMs that may be members of the cluster.
 	KnownAddresses func() []string
 }
@@ -49,7 +49,7 @@
 // removes members that are dead or have been replaced.
 func (q *Quorum) MaintainMembership(ctx context.Context, policy MembershipPolicy) {
 	if policy.DeadAfter == 0 {
-		policy.DeadAfter = DefaultDeadAfter
+		policy.DeadAfter = voters.DefaultDeadAfter
 	}
 	q.membershipPolicy.Store(&policy)
 	// standbyLeader is the leader that accepted the last join request at standbySince.
@@ -58,7 +58,7 @@
 		name, _, self := q.Leader()
 		switch {
 		case self:
-			q.removeFailedMember(ctx, policy)
+			q.changeMembers(ctx, policy)
 		case name == "" && (standbyLeader == "" || time.Since(standbySince) >= joinInterval):
 			standbyLeader = q.join(ctx, append([]string{standbyLeader}, policy.KnownAddresses()...))
 			standbySince = time.Now()
@@ -106,7 +106,8 @@
 	return ""
 }
 
-// handleJoin responds immediately and adds the replica in the background.
+// handleJoin remembers that a replica asks to be added. If it is to be added, that is done in the
+// background.
 func (q *Quorum) handleJoin(_ context.Context, params json.RawMessage) (any, error) {
 	var v Voter
 	if err := json.Unmarshal(params, &v); err != nil {
@@ -116,142 +117,135 @@
 	if !self {
 		return joinResponse{Leader: address}, nil
 	}
-	members := q.Describe().Members
-	for _, m := range members {
-		if m.ReplicaID == v.ReplicaID {
-			return joinResponse{Accepted: true}, nil
-		}
+	q.standbys.record(v, time.Now())
+	if policy := q.membershipPolicy.Load(); policy != nil {
+		go q.changeMembers(q.ctx, *policy)
 	}
-	if !q.shouldAdd(v, members) {
-		return joinResponse{Accepted: true}, nil
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(q.ctx, changeTimeout)
-		defer cancel()
-		err := q.AddVoter(ctx, v)
-		q.logMembershipChange("voter_added", v.ReplicaID, err)
-	}()
 	return joinResponse{Accepted: true}, nil
 }
 
-// shouldAdd reports whether a replica is to be added: if it replaces a member of the
-// same name, or if fewer than MaxVoters members are alive. A retired replica is not
-// added. A member counts as alive for half of DeadAfter after its last response.
-func (q *Quorum) shouldAdd(v Voter, members []MemberDescription) bool {
-	policy := q.membershipPolicy.Load()
-	if policy == nil {
-		return false
-	}
-	if q.isRetired(v.Address) {
-		return false
+// standbyList holds the replicas that have asked to be added, with the times of their last
+// requests. It is safe for concurrent use.
+type standbyList struct {
+	mu    sync.Mutex
+	asked map[Voter]time.Time
+}
+
+// record adds a replica, unless too many are remembered.
+func (l *standbyList) record(v Voter, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asked == nil {
+		l.asked = make(map[Voter]time.Time)
 	}
-	if policy.MaxVoters == 0 {
-		return true
+	maps.DeleteFunc(l.asked, func(_ Voter, at time.Time) bool { return now.Sub(at) >= standbyAge })
+	if _, known := l.asked[v]; known || len(l.asked) < maxStandbys {
+		l.asked[v] = now
 	}
-	alive := 0
-	for _, m := range members {
-		if m.Name == v.Name {
-			return true
-		}
-		unresponsive := m.ReplicaID != q.id && m.SinceLastContactMS > policy.DeadAfter.Milliseconds()/2
-		if !unresponsive && !q.isRetired(m.Address) {
-			alive++
+}
+
+// recent returns the replicas that have asked within standbyAge, the one that asked last first.
+func (l *standbyList) recent(now time.Time) []raft.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var members []raft.Member
+	for v, at := range l.asked {
+		if now.Sub(at) < standbyAge {
+			members = append(members, raft.Member{ReplicaID: v.ReplicaID, Address: v.Address})
 		}
 	}
-	return alive < policy.MaxVoters
+	slices.SortFunc(members, func(a, b raft.Member) int {
+		return cmp.Or(l.asked[Voter{b.ReplicaID, b.Address}].Compare(l.asked[Voter{a.ReplicaID, a.Address}]), cmp.Compare(a.Name, b.Name))
+	})
+	return members
 }
 
-// isRetired reports whether Retire was called for the replica at an address.
-func (q *Quorum) isRetired(address string) bool {
-	_, retired := q.retiredAddresses.Load(address)
-	return retired
+// group returns what this replica knows of the members. It is useful on the leader only.
+func (q *Quorum) group() voters.Group {
+	g := voters.Group{Self: q.id, Standbys: q.standbys.recent(time.Now())}
+	for _, m := range q.Describe().Members {
+		g.Members = append(g.Members, voters.Member{
+			Member:  raft.Member{ReplicaID: m.ReplicaID, Address: m.Address, Learner: m.Learner},
+			Silence: time.Duration(m.SinceLastContactMS) * time.Millisecond, Heard: m.Heard,
+		})
+	}
+	return g
+}
+
+// changeMembers makes the next change of the members, unless one is in progress or this replica
+// is not the leader.
+func (q *Quorum) changeMembers(ctx context.Context, policy MembershipPolicy) {
+	if _, _, self := q.Leader(); !self || !q.changing.TryLock() {
+		return
+	}
+	defer q.changing.Unlock()
+	g := q.group()
+	change, ok := policy.Next(g)
+	if !ok {
+		return
+	}
+	timeoutCtx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if change.Remove != (ReplicaID{}) {
+		q.logMembershipChange("voter_removed", change.Remove, g, q.RemoveVoter(timeoutCtx, change.Remove))
+		return
+	}
+	q.logMembershipChange("voter_added", change.Add.ReplicaID, g, q.addLearner(timeoutCtx, change.Add))
 }
 
-// Retire removes the replica at an address if at least MinVoters voters remain, and
-// reports whether it is no longer a member. Until the process restarts, handleJoin does
-// not add a replica at this address again.
-func (q *Quorum) Retire(ctx context.Context, address string) (bool, error) {
-	q.retiredAddresses.Store(address, struct{}{})
+// Retire removes the replica with a storage if the others can do without it, and reports whether it
+// is no member any more. The membership policy must know already that it is retired, so that no
+// replica adds it again.
+func (q *Quorum) Retire(ctx context.Context, storage string) (bool, error) {
 	policy := q.membershipPolicy.Load()
 	if policy == nil {
 		return false, ErrNotLeader
 	}
-	members := q.Describe().Members
-	for _, m := range members {
-		if m.Address != address {
+	// A change that was decided before the retirement may add the replica.
+	if !q.changing.TryLock() {
+		return false, nil
+	}
+	defer q.changing.Unlock()
+	g := q.group()
+	for _, m := range g.Members {
+		if m.Storage != storage {
 			continue
 		}
-		if votersWithout(members, address) < policy.MinVoters {
+		if !policy.MayLeave(g, m.ReplicaID) {
 			return false, nil
 		}
-		if err := q.RemoveVoter(ctx, m.ReplicaID); err != nil {
+		err := q.RemoveVoter(ctx, m.ReplicaID)
+		q.logMembershipChange("voter_retired", m.ReplicaID, g, err)
+		if err != nil {
 			return false, err
 		}
 	}
 	return true, nil
 }
 
-// votersWithout returns the number of voters at other addresses. Learners do not count:
-// they may lack committed entries.
-func votersWithout(members []MemberDescription, address string) int {
-	voters := 0
-	for _, m := range members {
-		if m.Address != address && !m.Learner {
-			voters++
-		}
-	}
-	return voters
-}
-
-// removeFailedMember removes at most one dead or replaced member.
-func (q *Quorum) removeFailedMember(ctx context.Context, policy MembershipPolicy) {
-	members := q.Describe().Members
-	id, ok := findRemovable(members, q.id, policy)
-	if !ok {
+// logMembershipChange logs the outcome of adding or removing a member, and what was known of the
+// members when that was decided.
+func (q *Quorum) logMembershipChange(event string, id ReplicaID, g voters.Group, err error) {
+	log := q.log.WithFields(logrus.Fields{"event": event, "member": id.String(), "members": describeMembers(g.Members)})
+	if err != nil && !errors.Is(err, context.Canceled) {
+		log.WithError(err).Warn("membership change failed")
 		return
 	}
-	timeoutCtx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	err := q.RemoveVoter(timeoutCtx, id)
-	q.logMembershipChange("voter_removed", id, err)
+	log.Info("membership changed")
 }
 
-// findRemovable returns a member to remove: a dead learner, a voter that was replaced by
-// a later voter with the same name and a new disk, or a dead voter if at least MinVoters
-// voters remain. A replaced voter is removed after a third of DeadAfter without a
-// response. The leader receives no responses from itself, so self is never returned.
-func findRemovable(members []MemberDescription, self ReplicaID, policy MembershipPolicy) (ReplicaID, bool) {
-	voters := 0
-	newestVoters := make(map[string]ReplicaID)
+// describeMembers returns the members with the time since each was last heard.
+func describeMembers(members []voters.Member) string {
+	var texts []string
 	for _, m := range members {
-		if !m.Learner {
-			voters++
-			newestVoters[m.Name] = m.ReplicaID
+		text := m.Name + ":" + m.Silence.String()
+		if !m.Heard {
+			text += ":unheard"
 		}
-	}
-	deadAfterMS := policy.DeadAfter.Milliseconds()
-	for _, m := range members {
-		replaced := newestVoters[m.Name] != m.ReplicaID && newestVoters[m.Name] != ReplicaID{}
-		switch {
-		case m.ReplicaID == self:
-		case m.Learner && m.SinceLastContactMS > deadAfterMS:
-			return m.ReplicaID, true
-		case m.Learner:
-		case replaced && m.SinceLastContactMS > deadAfterMS/3:
-			return m.ReplicaID, true
-		case m.SinceLastContactMS > deadAfterMS && voters-1 >= policy.MinVoters:
-			return m.ReplicaID, true
+		if m.Learner {
+			text += ":learner"
 		}
+		texts = append(texts, text)
 	}
-	return ReplicaID{}, false
-}
-
-// logMembershipChange logs the outcome of adding or removing a member.
-func (q *Quorum) logMembershipChange(event string, id ReplicaID, err error) {
-	log := q.log.WithFields(logrus.Fields{"event": event, "member": id.String()})
-	if err != nil && !errors.Is(err, context.Canceled) {
-		log.WithError(err).Warn("membership change failed")
-		return
-	}
-	log.Info("membership changed")
+	return strings.Join(texts, ",")
 }
--- a/server/quorum/membership_test.go
+++ b/server/quorum/membership_test.go
@@ -2,45 +2,93 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockvale.dev/coord/voters"
 )
 
-func member(name, storage string, sinceLastContactMS int64, learner bool) MemberDescription {
-	return MemberDescription{Voter: Voter{ReplicaID: ReplicaID{Name: name, Storage: storage}}, SinceLastContactMS: sinceLastContactMS, Learner: learner}
+// TestStandbysAreForgotten guards against a place in the group that is given to a replica which has
+// stopped asking for one, and against requests that fill the memory.
+func TestStandbysAreForgotten(t *testing.T) {
+	var l standbyList
+	now := time.Now()
+	voter := func(name string) Voter { return Voter{ReplicaID{Name: name, Storage: "1"}, name + ":1"} }
+	l.record(voter("a"), now)
+	l.record(voter("b"), now.Add(joinInterval))
+	asked := l.recent(now.Add(joinInterval))
+	require.Len(t, asked, 2)
+	assert.Equal(t, "b", asked[0].Name, "the one that asked last comes first")
+	asked = l.recent(now.Add(standbyAge))
+	require.Len(t, asked, 1)
+	assert.Equal(t, "b", asked[0].Name)
+	for i := range 2 * maxStandbys {
+		l.record(voter(string(rune('A'+i))), now.Add(joinInterval))
+	}
+	assert.Len(t, l.asked, maxStandbys)
+	l.record(voter("late"), now.Add(3*standbyAge))
+	assert.Len(t, l.asked, 1)
 }
 
-// TestRemovable guards against a cluster that keeps a dead voter after its replacement
-// has joined, so that the next loss costs it the majority, and against removals that
-// leave too few voters.
-func TestRemovable(t *testing.T) {
-	self := member("a", "1", 60_000, false)
-	cases := []struct {
-		name    string
-		members []MemberDescription
-		want    ReplicaID
-	}{
-		{"a dead voter is removed although the leader has no contact with itself", []MemberDescription{self, member("b", "1", 9000, false), member("c", "1", 10, false), member("d", "1", 10, false)}, ReplicaID{Name: "b", Storage: "1"}},
-		{"a dead voter is kept if too few voters would remain", []MemberDescription{self, member("b", "1", 9000, false), member("c", "1", 10, false)}, ReplicaID{}},
-		{"a restarting voter is kept", []MemberDescription{self, member("b", "1", 2000, false), member("c", "1", 10, false), member("d", "1", 10, false)}, ReplicaID{}},
-		{"a voter is removed after a replica with the same name and a new disk has replaced it", []MemberDescription{self, member("b", "1", 2000, false), member("c", "1", 10, false), member("b", "2", 10, false)}, ReplicaID{Name: "b", Storage: "1"}},
-		{"a dead learner is removed, so that it does not block other changes", []MemberDescription{self, member("b", "1", 10, false), member("c", "1", 10, false), member("d", "1", 5000, true)}, ReplicaID{Name: "d", Storage: "1"}},
+// TestGoneVoterIsReplacedAndLeaderRetires guards against a replica that stays a voter although its
+// VM is gone and another one has its place, and against one that is retired while the dead one is
+// counted as remaining, or is added again afterwards.
+func TestGoneVoterIsReplacedAndLeaderRetires(t *testing.T) {
+	c := newCluster(t, "a", "b", "c").startAll()
+	c.propose("one")
+	c.joining = map[string]bool{"d": true, "e": true}
+	for name := range c.joining {
+		c.peers[name] = c.reserveAddress()
+		c.start(name)
 	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			got, _ := findRemovable(c.members, self.ReplicaID, MembershipPolicy{MinVoters: 3, DeadAfter: DefaultDeadAfter})
-			assert.Equal(t, c.want, got)
-		})
+	retired := make(map[string]bool)
+	addresses := func() (all []string) {
+		for _, address := range c.peers {
+			all = append(all, address)
+		}
+		return all
 	}
-}
-
-// TestLearnersDoNotReplaceARetiredVoter guards against the removal of a voter while the
-// replica that takes its place has not caught up.
-func TestLearnersDoNotReplaceARetiredVoter(t *testing.T) {
-	at := func(address string, learner bool) MemberDescription {
-		return MemberDescription{Voter: Voter{Address: address}, Learner: learner}
+	known := addresses()
+	maintain := func() {
+		for _, r := range c.running {
+			go r.MaintainMembership(t.Context(), MembershipPolicy{
+				Policy:         voters.Policy{MinVoters: 3, MaxVoters: 3, Retired: func(storage string) bool { return c.isSet(retired, storage) }},
+				KnownAddresses: func() []string { return known },
+			})
+		}
+	}
+	maintain()
+	isVoter := func(name string) bool {
+		_, leader := c.leader()
+		for _, m := range leader.Describe().Members {
+			if m.Name == name && !m.Learner {
+				return true
+			}
+		}
+		return false
+	}
+	leaderName, leader := c.leader()
+	gone := "a"
+	if leaderName == gone {
+		gone = "b"
 	}
-	assert.Equal(t, 2, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", true)}, "a"))
-	assert.Equal(t, 3, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", false)}, "a"))
-	assert.Equal(t, 3, votersWithout([]MemberDescription{at("a", false), at("b", false), at("c", false), at("d", true)}, "d"))
+	c.stop(gone)
+	// The leader knows by then that the voter does not respond.
+	time.Sleep(voters.DefaultDeadAfter / 4)
+	storage := leader.Self().Storage
+	c.setFlag(retired, storage, true)
+	c.eventually("the retirement of "+leaderName, func() bool {
+		_, current := c.leader()
+		done, err := current.Retire(t.Context(), storage)
+		return err == nil && done && current.Self().Storage != storage
+	})
+	assert.False(t, isVoter(gone), "the dead voter would make the majority larger")
+	_, current := c.leader()
+	assert.Len(t, current.Describe().Members, 3)
+	// It asks to be added again meanwhile.
+	time.Sleep(standbyAge)
+	assert.False(t, isVoter(leaderName), "it is retired")
+	c.propose("two")
 }
--- a/server/quorum/quorum.go
+++ b/server/quorum/quorum.go
@@ -139,10 +139,11 @@
 	metrics   *replicaMetrics
 	loop      loopState
 
-	// membershipPolicy is set by MaintainMembership. retiredAddresses holds the addresses of
-	// replicas that Retire was called for; they are not added again.
+	// membershipPolicy is set by MaintainMembership. changing is held while a change of the
+	// members is decided and made.
 	membershipPolicy atomic.Pointer[MembershipPolicy]
-	retiredAddresses sync.Map
+	standbys         standbyList
+	changing         sync.Mutex
 
 	// tokens is the token of the last request to the raft node.
 	tokens    atomic.Uint64
--- a/server/quorum/requests.go
+++ b/server/quorum/requests.go
@@ -65,13 +65,25 @@
 		}
 		v.ReplicaID = response.ID
 	}
+	return q.addMember(ctx, raft.Member{ReplicaID: v.ReplicaID, Address: v.Address}, func(c raft.Configuration) bool { return c.IsVoter(v.ReplicaID) })
+}
+
+// addLearner adds a replica as a learner, which becomes a voter when it has caught up, and returns
+// once that is committed.
+func (q *Quorum) addLearner(ctx context.Context, m raft.Member) error {
+	return q.addMember(ctx, m, func(c raft.Configuration) bool {
+		_, member := c.Find(m.ReplicaID)
+		return member
+	})
+}
+
+// addMember adds a replica and returns once a committed configuration satisfies a condition.
+func (q *Quorum) addMember(ctx context.Context, m raft.Member, satisfiedBy func(raft.Configuration) bool) error {
 	w := newWaiter()
-	w.satisfiedBy = func(c raft.Configuration) bool { return c.IsVoter(v.ReplicaID) }
+	w.satisfiedBy = satisfiedBy
 	token := q.tokens.Add(1)
-	member := raft.Member{ReplicaID: v.ReplicaID, Address: v.Address}
-	_, err := q.request(ctx, raft.AddMember{Token: token, Member: member}, token, w, ErrUnknownOutcome)
-	if err != nil {
-		return fmt.Errorf("add voter %s: %w", v.ReplicaID, err)
+	if _, err := q.request(ctx, raft.AddMember{Token: token, Member: m}, token, w, ErrUnknownOutcome); err != nil {
+		return fmt.Errorf("add voter %s: %w", m.ReplicaID, err)
 	}
 	return nil
 }
