forward: a reset that the write of the request received is no end of the response

Callers saw: a target answered a long upload at once, without a length, sent a part and reset the connection while the upload was still being written; the caller got the part as a complete answer.

Cause: the kernel reports a reset once, to the call that comes first. What the two calls returned, in 200 connections of a small program of its own: in 188 the write got ECONNRESET and the read, after the bytes that had arrived, an ordinary end; in 12 the read got ECONNRESET and the write EPIPE. After an orderly end of the target's side (the connection is in CLOSE_WAIT) the read gets an end and the write, once a reset follows, EPIPE, in 200 of 200.

Change: server/tcpend wraps connections to targets. At the end of the data it asks the kernel whether the connection is closed in both directions (poll, which takes no error). If it is not, the target has closed its side and may read on: the response has ended, and is passed on at once. If it is, writes in progress fail at once; their error, unless it is EPIPE, is how the connection ended. The same wrapper serves the product's own interface (net/http inside), the orders to engines and the load tool. Responses between our VMs always have a length or chunks, which show a cut.

Ruled out: waiting for the write at each end (a target that answers early and reads on slowly would be held back), and treating each failed write as a broken response (EPIPE follows a whole response as well).

The test network of server/forward embeds the new type.

--- a/server/entry/targetclient.go
+++ b/server/entry/targetclient.go
@@ -13,6 +13,7 @@
 
 	"hemlockvale.dev/coord/retry"
 	"hemlockvale.dev/server/integrity"
+	"hemlockvale.dev/server/tcpend"
 )
 
 const (
@@ -66,7 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &targetConn{Conn: conn}, nil
+		return &targetConn{Conn: tcpend.Wrap(conn)}, nil
 	}
 	newHTTPClient := func(disableKeepAlives bool) *http.Client {
 		return &http.Client{
--- a/server/forward/conn.go
+++ b/server/forward/conn.go
@@ -19,6 +19,7 @@
 	"hemlockvale.dev/server/bootclock"
 	"hemlockvale.dev/server/integrity"
 	"hemlockvale.dev/server/sockopt"
+	"hemlockvale.dev/server/tcpend"
 )
 
 const (
@@ -128,7 +129,7 @@
 // connectTCP connects to a target.
 func connectTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.All(sockopt.UserTimeout(tcpUserTimeout), sockopt.ReceiveBuffer(targetReceiveBufferBytes))}
-	return dialer.DialContext(ctx, "tcp", address)
+	return tcpend.Wrapping(dialer.DialContext)(ctx, "tcp", address)
 }
 
 // newConn returns a connection on which requests can be sent.
@@ -211,8 +212,7 @@
 	c.writeDone = done
 	go func() {
 		defer close(done)
-		message := append(net.Buffers{head.Bytes()}, r.body...)
-		_, c.writeErr = message.WriteTo(c.Conn)
+		c.writeErr = tcpend.WriteBuffers(c.Conn, append(net.Buffers{head.Bytes()}, r.body...))
 	}()
 	return nil
 }
--- a/server/forward/network_test.go
+++ b/server/forward/network_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"hemlockvale.dev/server/tcpend"
 )
 
 // cutMode is the way in which a VM has lost its links to targets.
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cutConn{TCPConn: raw.(*net.TCPConn), network: n, closed: make(chan struct{})}
+	c := &cutConn{Conn: raw.(*tcpend.Conn), network: n, closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = struct{}{}
@@ -80,7 +82,7 @@
 // cutConn is a connection that falls silent when its network is cut. Bytes that were sent
 // meanwhile are lost.
 type cutConn struct {
-	*net.TCPConn
+	*tcpend.Conn
 	network *network
 	closed  chan struct{}
 	once    sync.Once
@@ -89,7 +91,7 @@
 func (c *cutConn) silent() bool { return cutMode(c.network.mode.Load()) == silentCut }
 
 func (c *cutConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if c.silent() && !errors.Is(err, net.ErrClosed) {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -101,10 +103,10 @@
 	if c.silent() {
 		return len(p), nil
 	}
-	return c.TCPConn.Write(p)
+	return c.Conn.Write(p)
 }
 
 func (c *cutConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
--- a/server/load/load.go
+++ b/server/load/load.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"hemlockvale.dev/server/client"
 	"hemlockvale.dev/server/emulator"
+	"hemlockvale.dev/server/tcpend"
 )
 
 // Options describes the load to generate.
@@ -72,7 +74,7 @@
 	d := &driver{
 		Options:     o,
 		recorder:    newRecorder(),
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}},
+		http:        &http.Client{Transport: &http.Transport{DialContext: tcpend.Wrapping(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}},
 		entryCaches: make(map[string]*entryCache),
 	}
 	organisations := sortedNames(o.Keys)
--- a/server/targets/effects.go
+++ b/server/targets/effects.go
@@ -15,6 +15,7 @@
 
 	"hemlockvale.dev/coord/target"
 	"hemlockvale.dev/server/integrity"
+	"hemlockvale.dev/server/tcpend"
 )
 
 const (
@@ -41,7 +42,7 @@
 func newOrderClient() *http.Client {
 	dialer := net.Dialer{Timeout: orderDialTimeout}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: tcpend.Wrapping(dialer.DialContext), DisableKeepAlives: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
