ledger: a retirement waits for what the VM answered to be recorded, not for its last part

Found by reading (docs/design/history-holders.md, "What remains"): the leader awaited the commit of the last of the confirmations of a VM that is being retired. A lost earlier part left turns that it has as named only, and they did not count. The directory is asked afterwards; a failed confirmation is logged. The check of a retirement is logged when its result changes, not ten times a second.

--- a/coord/history/directory.go
+++ b/coord/history/directory.go
@@ -189,6 +189,18 @@
 	return nil
 }
 
+// CountNamed returns the number of turns of a list for which a storage is named and not known to
+// have the record.
+func (d *Directory) CountNamed(storage string, turns []Turn) int {
+	n := 0
+	for _, t := range turns {
+		if slices.Contains(d.Named(t), storage) {
+			n++
+		}
+	}
+	return n
+}
+
 // Unconfirmed calls visit with each turn of which no storage is known to have the record, and
 // the storages that are named as its holders, until its retention has passed for certain.
 func (d *Directory) Unconfirmed(unixSeconds int64, visit func(t Turn, named []string)) {
--- a/coord/history/directory_test.go
+++ b/coord/history/directory_test.go
@@ -232,3 +232,16 @@
 	require.True(t, d.Keep(100, Keep{Turn: Turn{ID: "x"}, Holders: []string{"s1", "s2"}, Copied: true}))
 	assert.False(t, d.Needs(100, "s0", false, others, 2), "two others have it")
 }
+
+// TestLostConfirmationIsNoticed guards against a VM that counts as asked although the directory has
+// not recorded what it answered.
+func TestLostConfirmationIsNoticed(t *testing.T) {
+	d := NewDirectory()
+	x, y := Turn{ID: "x"}, Turn{ID: "y"}
+	for _, turn := range []Turn{x, y} {
+		require.True(t, d.Keep(100, Keep{Turn: turn, Holders: []string{"s0"}, RetentionSeconds: 60}))
+	}
+	require.True(t, d.Keep(100, Keep{Turn: y, Holders: []string{"s0"}, Copied: true}))
+	assert.Equal(t, 1, d.CountNamed("s0", []Turn{x, y, {ID: "expired"}}))
+	assert.Zero(t, d.CountNamed("s1", []Turn{x, y}))
+}
--- a/server/ledger/copies.go
+++ b/server/ledger/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -195,9 +196,17 @@
 	for _, t := range turns[:last] {
 		h.batcher.add(keepOf(t))
 	}
-	// Operations are committed in order, so the next plan sees all of these turns.
+	// Operations are committed in order, so the next plan sees all of these turns, but for those of
+	// an entry of the log that was lost.
 	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err := h.commit(commitCtx, keepOf(turns[last]))
-	return err
+	if _, err := h.commit(commitCtx, keepOf(turns[last])); err != nil {
+		return err
+	}
+	lost := 0
+	h.options.Machine.readTurns(func(d *history.Directory, _ int64) { lost = d.CountNamed(storage, turns) })
+	if lost > 0 {
+		return fmt.Errorf("%d of %d holders not recorded", lost, len(turns))
+	}
+	return nil
 }
--- a/server/ledger/histories.go
+++ b/server/ledger/histories.go
@@ -109,10 +109,19 @@
 	h.options.Machine.readTurns(func(turns *history.Directory, unixSeconds int64) {
 		needed = turns.Needs(unixSeconds, storage, asked, stores, h.options.Copies)
 	})
-	h.options.Log.WithFields(logrus.Fields{"event": "retire_checked", "storage": storage, "asked": asked, "needed": needed}).Info("store VM that is being retired was checked for histories that depend on it")
+	if check := (retireCheck{storage, asked, needed}); h.retireCheck.Swap(check) != check {
+		h.options.Log.WithFields(logrus.Fields{"event": "retire_checked", "storage": storage, "asked": asked, "needed": needed}).Info("store VM that is being retired was checked for histories that depend on it")
+	}
 	return !needed, nil
 }
 
+// retireCheck is the result of a check whether a VM that is being retired may leave. asked is set if
+// the VM has told what it has, and needed if histories depend on it.
+type retireCheck struct {
+	storage       string
+	asked, needed bool
+}
+
 // storageAt returns the storage of the store VM at an address, for requests of earlier releases;
 // "" if it is not known.
 func (h *Host) storageAt(address string) string {
--- a/server/ledger/holders.go
+++ b/server/ledger/holders.go
@@ -55,7 +55,10 @@
 	done := make(chan struct{}, len(asked))
 	for s, turns := range asked {
 		go func() {
-			_ = h.askHolder(ctx, s, turns)
+			if err := h.askHolder(ctx, s, turns); err != nil {
+				// The turns are asked for again.
+				h.options.Log.WithFields(logrus.Fields{"event": "history_holder_unconfirmed", "store": s.Address}).WithError(err).Warn("holders of turns not confirmed")
+			}
 			done <- struct{}{}
 		}()
 	}
--- a/server/ledger/host.go
+++ b/server/ledger/host.go
@@ -95,6 +95,8 @@
 	reservations   map[string]*reservation
 	proposedTokens map[ledger.Program]map[string]int64
 	copies         copyState
+	// retireCheck is the last retireCheck that was logged.
+	retireCheck atomic.Value
 	// leaving holds the targets that have stated that they leave.
 	leaving ledger.LeavingTargets
 	// evacuations is what was last logged about evacuated data centres.
