quorum: a removal that is not committed is none

Found by reading: a retirement whose removal of the voter took longer than its request was told done by the next request, because the member was absent from the latest list, committed or not. A leader lost before the commit would have left it a voter. A leader that does not know its list to be committed changes nothing and calls nobody removed.

voters.TestLeaving covers it.

--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -19,6 +19,9 @@
 	Configuration Configuration
 	// CommittedConfiguration is the latest committed configuration.
 	CommittedConfiguration Configuration
+	// ChangePending is set while Configuration, or the first entry of the leader's term, is not
+	// known to be committed.
+	ChangePending bool
 	// Members holds the leader's replication state for each member; it is nil on other replicas.
 	Members map[ReplicaID]MemberStatus
 }
@@ -61,6 +64,7 @@
 		Configuration: n.configuration(), CommittedConfiguration: n.configurationAsOf(n.commit),
 	}
 	if n.role == Leader {
+		s.ChangePending = n.changePending()
 		s.Members = make(map[ReplicaID]MemberStatus, len(n.progress))
 		for id, pr := range n.progress {
 			s.Members[id] = MemberStatus{Match: pr.match, SinceLastContact: n.now - pr.lastContact, Heard: pr.heard}
--- a/coord/voters/sim_test.go
+++ b/coord/voters/sim_test.go
@@ -206,8 +206,8 @@
 
 // group returns what a leader knows.
 func (s *simulation) group(leader *simVM) Group {
-	g := Group{Self: leader.ReplicaID}
 	status := leader.node.Status()
+	g := Group{Self: leader.ReplicaID, ChangePending: status.ChangePending}
 	for _, m := range status.Configuration.Members {
 		progress := status.Members[m.ReplicaID]
 		g.Members = append(g.Members, Member{m, progress.SinceLastContact, progress.Heard})
--- a/coord/voters/voters.go
+++ b/coord/voters/voters.go
@@ -51,6 +51,8 @@
 	Self raft.ReplicaID
 	// Members are the members of the latest configuration, those added first in front.
 	Members []Member
+	// ChangePending is set while the latest configuration is not known to be committed.
+	ChangePending bool
 	// Standbys are replicas that have asked recently to be added.
 	Standbys []raft.Member
 }
@@ -78,10 +80,10 @@
 	Add    raft.Member
 }
 
-// Next returns the next change to make, and false if there is none or if the leader does not hear
-// from a quorum.
+// Next returns the next change to make, and false if there is none, if the last one is not committed or if
+// the leader does not hear from a quorum.
 func (p Policy) Next(g Group) (Change, bool) {
-	if p.responding(g, g.Members) < quorumOf(len(votersOf(g.Members))) {
+	if g.ChangePending || p.responding(g, g.Members) < quorumOf(len(votersOf(g.Members))) {
 		return Change{}, false
 	}
 	if id, ok := p.removable(g); ok {
@@ -99,6 +101,9 @@
 // that are to stay, and a quorum of the others is left when as many of them as are tolerated are
 // lost.
 func (p Policy) MayLeave(g Group, id raft.ReplicaID) bool {
+	if g.ChangePending {
+		return false
+	}
 	rest := without(g.Members, id)
 	if len(rest) == len(g.Members) || isLearner(g.Members, id) {
 		return true
--- a/coord/voters/voters_test.go
+++ b/coord/voters/voters_test.go
@@ -219,7 +219,10 @@
 				}
 				return false
 			}}
-			assert.Equal(t, tc.want, p.MayLeave(Group{Self: a.ReplicaID, Members: tc.members}, tc.leaving.ReplicaID))
+			g := Group{Self: a.ReplicaID, Members: tc.members}
+			assert.Equal(t, tc.want, p.MayLeave(g, tc.leaving.ReplicaID))
+			g.ChangePending = true
+			assert.False(t, p.MayLeave(g, tc.leaving.ReplicaID), "the members may be others when the leader changes")
 		})
 	}
 }
--- a/server/quorum/describe.go
+++ b/server/quorum/describe.go
@@ -49,8 +49,10 @@
 	LastIndex     uint64 `json:"last_index"`
 	Applied       uint64 `json:"applied"`
 	SnapshotIndex uint64 `json:"snapshot_index"`
-	// Members are the members of the latest configuration in the log.
-	Members []MemberDescription `json:"members"`
+	// Members are the members of the latest configuration in the log. ChangePending is set on a
+	// leader that does not know that configuration to be committed.
+	Members       []MemberDescription `json:"members"`
+	ChangePending bool                `json:"change_pending,omitempty"`
 	// Failure is the error that stopped the replica; it is empty if the replica runs or
 	// was closed.
 	Failure string `json:"failure,omitempty"`
@@ -72,7 +74,7 @@
 	}
 	d := Description{
 		Self: q.id, Role: s.Role.String(), Formed: len(s.Configuration.Members) > 0, Term: s.HardState.Term,
-		Commit: s.Commit, Applied: s.Commit, LastIndex: s.LastIndex, SnapshotIndex: s.SnapshotIndex,
+		Commit: s.Commit, Applied: s.Commit, LastIndex: s.LastIndex, SnapshotIndex: s.SnapshotIndex, ChangePending: s.ChangePending,
 		Members: make([]MemberDescription, 0, len(s.Configuration.Members)),
 	}
 	if !s.Leader.IsZero() {
--- a/server/quorum/membership.go
+++ b/server/quorum/membership.go
@@ -162,8 +162,9 @@
 
 // group returns what this replica knows of the members. It is useful on the leader only.
 func (q *Quorum) group() voters.Group {
-	g := voters.Group{Self: q.id, Standbys: q.standbys.recent(time.Now())}
-	for _, m := range q.Describe().Members {
+	d := q.Describe()
+	g := voters.Group{Self: q.id, Standbys: q.standbys.recent(time.Now()), ChangePending: d.ChangePending}
+	for _, m := range d.Members {
 		g.Members = append(g.Members, voters.Member{
 			Member:  raft.Member{ReplicaID: m.ReplicaID, Address: m.Address, Learner: m.Learner},
 			Silence: time.Duration(m.SinceLastContactMS) * time.Millisecond, Heard: m.Heard,
@@ -207,20 +208,21 @@
 	}
 	defer q.changing.Unlock()
 	g := q.group()
-	for _, m := range g.Members {
-		if m.Storage != storage {
-			continue
-		}
-		if !policy.MayLeave(g, m.ReplicaID) {
-			return false, nil
-		}
-		err := q.RemoveVoter(ctx, m.ReplicaID)
-		q.logMembershipChange("voter_retired", m.ReplicaID, g, err)
-		if err != nil {
-			return false, err
-		}
+	if g.ChangePending {
+		// An earlier removal of the replica may be lost.
+		return false, nil
+	}
+	i := slices.IndexFunc(g.Members, func(m voters.Member) bool { return m.Storage == storage })
+	if i < 0 {
+		return true, nil
+	}
+	id := g.Members[i].ReplicaID
+	if !policy.MayLeave(g, id) {
+		return false, nil
 	}
-	return true, nil
+	err := q.RemoveVoter(ctx, id)
+	q.logMembershipChange("voter_retired", id, g, err)
+	return err == nil, err
 }
 
 // logMembershipChange logs the outcome of adding or removing a member, and what was known of the
