--- a/coord/voters/sim_test.go
+++ b/coord/voters/sim_test.go
@@ -94,7 +94,7 @@
 	s.note("%s stops", v.ReplicaID)
 }
 
-// replace gives the VM of a name an empty disk.
+// wipe restarts a VM with an empty disk.
 func (s *simulation) wipe(v *simVM) *simVM { return s.add(v.Name) }
 
 func (s *simulation) form(names ...string) {
